--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -48,6 +49,9 @@
 	// stopMargin is left of the time to stop for what is still under way to be cut in order.
 	stopMargin = 300 * time.Millisecond
 
+	// freshMetadata is the age of the last answer of the metadata store up to which kept parts are fetched and saved.
+	freshMetadata = 2 * time.Second
+
 	metricsPeriod = time.Second
 )
 
@@ -69,13 +73,18 @@
 	mirror   *metastore.Mirror
 	state    *gateway.State
 	gateway  *gateway.Gateway
+	engines  *platform.Engines
+	keeper   *gateway.Keeper
 	metrics  http.Handler
 	stopping atomic.Bool
+	drained  chan struct{} // closed when the requests under way have ended
+	endDrain func()
 	group    runGroup
 }
 
 func newProcess(s *platform.Settings) (*process, error) {
-	p := &process{settings: s, store: platform.NewStore(s.StoreAddress)}
+	p := &process{settings: s, store: platform.NewStore(s.StoreAddress), drained: make(chan struct{})}
+	p.endDrain = sync.OnceFunc(func() { close(p.drained) })
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -96,7 +105,11 @@
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryTime: s.RetryWindow,
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: p.store, Prefix: "", OnChange: p.state.OnChange, FromPeer: p.copyFromPeer})
-	p.gateway = gateway.New(gateway.Options{State: p.state, Protocol: platform.Protocol{}, Metrics: scope, Prefill: prefillRate})
+	p.engines = platform.NewEngines()
+	p.keeper = gateway.NewKeeper(p.state, p.engines, func(now time.Time) bool { return now.Sub(p.mirror.Contact()) < freshMetadata })
+	p.gateway = gateway.New(gateway.Options{
+		State: p.state, Protocol: platform.Protocol{}, Metrics: scope, Prefill: prefillRate, Kept: p.keeper,
+	})
 	return p, nil
 }
 
@@ -120,6 +133,11 @@
 	p.group.add(p.mirror.Run)
 	p.group.add(presence.Run)
 	p.group.add(p.tick)
+	lock := &metastore.Lock{Store: p.store, Key: gateway.OrdersLock, Self: p.settings.Name, TTL: p.settings.LeaseTime, Free: p.state.OrdersFree}
+	p.group.add(lock.Run)
+	orderer := gateway.NewOrderer(gateway.OrdererOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines})
+	p.group.add(p.keeper.Run)
+	p.group.add(orderer.Run)
 	p.group.add(p.reload)
 	if err := p.listen(); err != nil {
 		return err
@@ -225,10 +243,14 @@
 	p.group.Add(func() error {
 		err := server.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
+			<-p.drained // the server's requests go on until then
 			return errStopped
 		}
 		return trace.Wrap(err, "serve %s", l.Addr())
-	}, func(error) { _ = server.Close() })
+	}, func(error) {
+		p.endDrain()
+		_ = server.Close()
+	})
 }
 
 func (p *process) ready(c echo.Context) error {
@@ -256,6 +278,7 @@
 	time.Sleep(min(noticeTime, p.settings.StopTime/2))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
+	defer p.endDrain()
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("requests cut at the end of the time to stop", "err", err.Error())
 	}
--- /dev/null
+++ b/internal/gateway/keeper.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/egrethoist/egrethoist/internal/catalog"
+	"github.com/egrethoist/egrethoist/internal/kvcache/directory"
+	"github.com/egrethoist/egrethoist/internal/sleep"
+)
+
+const (
+	// storeWait is how long a store holds a reading of its changes. Shorter ones count as probes.
+	storeWait = 400 * time.Millisecond
+	// storePause collects changes before the next reading.
+	storePause = 400 * time.Millisecond
+	storeRetry = 300 * time.Millisecond
+	// readersUsed is the part of the readings that a store holds at once which instances may take up.
+	readersUsed = 0.75
+)
+
+// Keeper follows the kept-cache stores and answers what to fetch and what to save. It implements Kept.
+type Keeper struct {
+	state     *State
+	engines   Engines
+	directory *directory.Directory
+	// current reports whether the metadata is fresh enough for a fetch: the owner of orders frees parts once every
+	// instance with a fresh view has stopped fetching them.
+	current func(now time.Time) bool
+
+	mu      sync.Mutex
+	running map[string]context.CancelFunc // readers, by store name
+}
+
+// NewKeeper returns a keeper. current reports whether the view of the metadata store is fresh.
+func NewKeeper(state *State, engines Engines, current func(now time.Time) bool) *Keeper {
+	return &Keeper{
+		state: state, engines: engines, directory: directory.New(), current: current, running: map[string]context.CancelFunc{},
+	}
+}
+
+// Run follows the stores of the configuration in force until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	var revision uint64
+	for sleep.For(ctx, storePause) == nil {
+		v := k.state.current.Load()
+		if v == nil || v.revision == revision {
+			continue
+		}
+		revision = v.revision
+		k.follow(ctx, v.catalog.Stores)
+	}
+	return ctx.Err()
+}
+
+// follow starts and stops readers to match the declared stores.
+func (k *Keeper) follow(ctx context.Context, stores []catalog.Store) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var list []directory.Store
+	declared := map[string]catalog.Store{}
+	for _, s := range stores {
+		list = append(list, directory.Store{Name: s.Name, Address: s.Address, Tokens: s.Tokens})
+		declared[s.Name+" "+s.Address] = s
+	}
+	k.directory.SetStores(list)
+	for key, cancel := range k.running {
+		if _, ok := declared[key]; !ok {
+			cancel()
+			delete(k.running, key)
+		}
+	}
+	for key, s := range declared {
+		if k.running[key] == nil {
+			reader, cancel := context.WithCancel(ctx)
+			k.running[key] = cancel
+			go k.read(reader, s)
+		}
+	}
+}
+
+// read follows one store.
+func (k *Keeper) read(ctx context.Context, s catalog.Store) {
+	next, known, lost := uint64(0), false, false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			next, err = k.list(ctx, s)
+			known = err == nil
+		} else {
+			next, known, err = k.events(ctx, s, next)
+		}
+		if err != nil && ctx.Err() == nil {
+			k.directory.Lost(s.Name)
+			known = false
+			if !lost {
+				klog.InfoS("kept-cache store lost", "store", s.Name, "address", s.Address, "err", err.Error())
+			}
+			lost = true
+			_ = sleep.For(ctx, storeRetry) // the loop looks at ctx itself
+			continue
+		}
+		if lost && known {
+			lost = false
+			klog.InfoS("kept-cache store reached again", "store", s.Name, "address", s.Address)
+		}
+		_ = sleep.For(ctx, k.pause(s)) // the loop looks at ctx itself
+	}
+}
+
+// pause spreads the readings of all instances so that a store does not hold too many.
+func (k *Keeper) pause(s catalog.Store) time.Duration {
+	v := k.state.current.Load()
+	if v == nil || s.MaxReaders <= 0 {
+		return storePause
+	}
+	share := float64(v.instances) / (readersUsed * float64(s.MaxReaders)) // of the readings that would be held at once
+	return max(storePause, time.Duration(share*float64(storeWait))-storeWait)
+}
+
+func (k *Keeper) list(ctx context.Context, s catalog.Store) (uint64, error) {
+	parts, err := k.engines.StoreParts(ctx, s.Address)
+	if err != nil {
+		return 0, err
+	}
+	k.directory.Replace(s.Name, parts.Epoch, changes(parts.Whole), time.Now())
+	klog.InfoS("kept-cache store read", "store", s.Name, "epoch", parts.Epoch, "parts", len(parts.Whole), "broken", len(parts.Broken))
+	return parts.Next, nil
+}
+
+// events reads the changes since. It returns false if the content must be read anew.
+func (k *Keeper) events(ctx context.Context, s catalog.Store, since uint64) (uint64, bool, error) {
+	e, err := k.engines.StoreEvents(ctx, s.Address, since, storeWait)
+	if err != nil {
+		return 0, false, err
+	}
+	if e.Gap || !k.directory.Apply(s.Name, e.Epoch, changes(e.Events), time.Now()) {
+		klog.InfoS("changes of a kept-cache store missed", "store", s.Name, "epoch", e.Epoch, "gap", e.Gap)
+		return 0, false, nil
+	}
+	return e.Next, true, nil
+}
+
+func changes(events []StoreEvent) []directory.Change {
+	out := make([]directory.Change, len(events))
+	for i, e := range events {
+		out[i] = directory.Change{Added: e.Added, Key: directory.Key{Scope: e.Scope, Part: e.PartID}, Tokens: e.Tokens}
+	}
+	return out
+}
+
+// Held implements Kept. Parts after the first missing one are of no use.
+func (k *Keeper) Held(scope string, parts []Part, now time.Time) []string {
+	from := make([]string, len(parts))
+	if !k.current(now) {
+		return from
+	}
+	for i, p := range parts {
+		address, ok := k.directory.Held(directory.Key{Scope: scope, Part: p.ID}, p.Tokens, now)
+		if !ok {
+			continue
+		}
+		from[i] = address
+	}
+	return from
+}
+
+// Save implements Kept.
+func (k *Keeper) Save(scope string, parts []Part, now time.Time) []string {
+	to := make([]string, len(parts))
+	if !k.current(now) {
+		return to
+	}
+	for i, p := range parts {
+		if address, ok := k.directory.Save(directory.Key{Scope: scope, Part: p.ID}, p.Tokens, now); ok {
+			to[i] = address
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/internal/gateway/orders.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/egrethoist/egrethoist/internal/metastore"
+	"github.com/egrethoist/egrethoist/internal/rollout"
+	"github.com/egrethoist/egrethoist/internal/sleep"
+)
+
+const (
+	// orderPeriod is how often the owner of orders looks at the targets that load: loads take seconds.
+	orderPeriod = 150 * time.Millisecond
+	// orderSettle is how long the other instances have to take a target out before it is told to load.
+	orderSettle = 100 * time.Millisecond
+)
+
+// loadState is what the owner of orders tells all instances.
+type loadState struct {
+	Loading []string `json:"loading"` // targets that get no new work
+	Loaded  []loaded `json:"loaded"`  // targets that have loaded, until their own records say so
+}
+
+type loaded struct {
+	Target  string `json:"target"`
+	Born    int64  `json:"born"`
+	Model   string `json:"model"`
+	Version int    `json:"version"`
+}
+
+// OrdererOptions configure an Orderer.
+type OrdererOptions struct {
+	Self    string
+	State   *State
+	Store   metastore.Store
+	Lock    *metastore.Lock
+	Engines Engines
+}
+
+// Orderer gives targets the order to load new weights, while it holds the lock for orders.
+type Orderer struct {
+	opts      OrdererOptions
+	plans     map[string]*rollout.Plan // by service and model
+	reports   map[string]TargetReport  // of targets that are out, by ID
+	published []string
+	settled   time.Time // when the published list is known everywhere
+	loaded    []loaded
+	revision  uint64
+}
+
+// NewOrderer returns an orderer.
+func NewOrderer(o OrdererOptions) *Orderer { return &Orderer{opts: o} }
+
+// Run gives orders until ctx ends.
+func (o *Orderer) Run(ctx context.Context) error {
+	var held uint64
+	for sleep.For(ctx, orderPeriod) == nil {
+		token, ok := o.opts.Lock.Token()
+		if !ok {
+			held = 0
+			continue
+		}
+		if token != held {
+			held = token
+			o.begin()
+		}
+		o.step(ctx, token)
+	}
+	return ctx.Err()
+}
+
+// begin forgets what an earlier tenure believed. The targets' reports tell how far they are.
+func (o *Orderer) begin() {
+	o.plans, o.reports = map[string]*rollout.Plan{}, map[string]TargetReport{}
+	o.published, o.loaded = nil, nil
+	o.settled = time.Now()
+}
+
+// job is a target with what an order to it needs.
+type job struct {
+	target *target
+	born   int64
+	model  string
+	newest int
+}
+
+func (o *Orderer) step(ctx context.Context, token uint64) {
+	now := time.Now()
+	var out []string
+	orders := map[string]job{}
+	for _, g := range o.opts.State.engineGroups() {
+		key := g.service + "/" + g.model
+		if o.plans[key] == nil {
+			o.plans[key] = rollout.New(rollout.Options{})
+		}
+		step := o.plans[key].Next(o.observe(ctx, g), g.newest, now)
+		out = append(out, step.Out...)
+		for _, id := range step.Order {
+			orders[id] = job{target: g.targets[id], born: g.born[id], model: g.model, newest: g.newest}
+		}
+	}
+	slices.Sort(out)
+	if !slices.Equal(out, o.published) && !o.publish(ctx, out, token) {
+		return
+	}
+	if time.Now().Before(o.settled) {
+		return
+	}
+	for id, j := range orders {
+		if slices.Contains(o.published, id) {
+			o.order(ctx, j, token)
+		}
+	}
+}
+
+// observe returns the targets of a group. Those that are out are asked; the others are known by their records.
+func (o *Orderer) observe(ctx context.Context, g engineGroup) []rollout.Target {
+	var list []rollout.Target
+	for id, t := range g.targets {
+		rt := rollout.Target{ID: id, Version: t.version(g.model)}
+		if slices.Contains(o.published, id) && rt.Version < g.newest {
+			report, err := o.opts.Engines.Report(ctx, t.address)
+			if err != nil {
+				klog.InfoS("target that is to load weights does not report", "target", id, "err", err.Error())
+				rt.Busy = true // nothing can be told to it now
+			} else {
+				o.reports[id] = report
+				rt.Busy, rt.Idle = report.Busy, report.Running == 0
+				if v := report.Weights[g.model]; v > rt.Version {
+					rt.Version = v
+					t.learn(report.Weights)
+					o.loaded = append(o.loaded, loaded{Target: id, Born: g.born[id], Model: g.model, Version: v})
+					klog.InfoS("weights loaded", "target", id, "model", g.model, "version", v)
+				}
+			}
+		}
+		list = append(list, rt)
+	}
+	return list
+}
+
+// publish tells all instances which targets are out. The lock's revision is a condition, so that only its holder can.
+func (o *Orderer) publish(ctx context.Context, out []string, token uint64) bool {
+	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded})
+	if err != nil {
+		klog.ErrorS(err, "encode load state")
+		return false
+	}
+	_, err = o.opts.Store.Commit(ctx, metastore.Txn{
+		If:   []metastore.Condition{{Key: OrdersLock, Revision: token}},
+		Puts: []metastore.Put{{Key: LoadingKey, Value: raw}},
+	})
+	if err != nil {
+		klog.InfoS("load state not published", "targets", len(out), "err", err.Error())
+		if errors.Is(err, metastore.ErrConflict) {
+			o.opts.Lock.Drop()
+		}
+		return false
+	}
+	klog.InfoS("targets taken out to load weights", "targets", out)
+	o.published, o.settled = out, time.Now().Add(orderSettle)
+	return true
+}
+
+func (o *Orderer) order(ctx context.Context, j job, token uint64) {
+	report, ok := o.reports[j.target.id]
+	if !ok {
+		return
+	}
+	if now, held := o.opts.Lock.Token(); !held || now != token {
+		return
+	}
+	outcome, err := o.opts.Engines.LoadWeights(ctx, j.target.address, WeightsOrder{
+		Target: j.target.id, Model: j.model, Version: j.newest, Holder: o.opts.Self, Token: token, Expected: report.Sequence,
+	})
+	klog.InfoS("order to load weights", "target", j.target.id, "model", j.model, "version", j.newest, "token", token,
+		"sequence", report.Sequence, "outcome", outcome.String(), "err", err)
+	for _, plan := range o.plans {
+		plan.Ordered(j.target.id, time.Now())
+	}
+	if outcome == OrderFenced {
+		o.opts.Lock.Drop()
+	}
+}
--- a/internal/gateway/own.go
+++ b/internal/gateway/own.go
@@ -9,7 +9,7 @@
 	InstancePrefix = ownPrefix + "instances/"
 	// OrdersLock is held by the one instance that gives orders to targets; its revision is the fencing token.
 	OrdersLock = ownPrefix + "locks/orders"
-	// LoadingKey lists the targets that are about to load weights, so that they get no new work.
+	// LoadingKey holds which targets load weights, so that they get no new work, and which have loaded.
 	LoadingKey = ownPrefix + "loading"
 )
 
@@ -25,8 +25,8 @@
 	return in, err
 }
 
-func decodeLoading(raw []byte) ([]string, error) {
-	var ids []string
-	err := json.Unmarshal(raw, &ids)
-	return ids, err
+func decodeLoading(raw []byte) (loadState, error) {
+	var state loadState
+	err := json.Unmarshal(raw, &state)
+	return state, err
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -102,6 +102,7 @@
 	Weights  map[string]int
 	Busy     bool   // an order is being carried out
 	Sequence uint64 // orders accepted
+	Running  int    // requests there, waiting ones included
 }
 
 // WeightsOrder tells a target to load weights.
@@ -126,6 +127,11 @@
 	OrderRejected              // the target does not take it
 )
 
+var outcomeNames = [...]string{"accepted", "holds already", "conflict", "fenced off", "rejected"}
+
+// String returns the name of the outcome.
+func (o OrderOutcome) String() string { return outcomeNames[o] }
+
 // Engines are the calls to model engines and kept-cache stores besides requests.
 type Engines interface {
 	Report(ctx context.Context, address string) (TargetReport, error)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -64,7 +64,9 @@
 	budgets   map[string]*retry.Budget
 	instances map[string]Instance
 	loading   map[string]bool
-	shared    int // instances that budgets were made for
+	loaded    []loaded
+	locked    bool // an instance holds the lock for orders
+	shared    int  // instances that budgets were made for
 }
 
 // NewState returns a state that knows nothing.
@@ -111,19 +113,65 @@
 				instances[strings.TrimPrefix(key, InstancePrefix)] = in
 			}
 		case key == LoadingKey:
-			list, err := decodeLoading(item.Value)
+			state, err := decodeLoading(item.Value)
 			if err != nil {
-				klog.ErrorS(err, "list of loading targets ignored", "revision", item.Revision)
+				klog.ErrorS(err, "load state ignored", "revision", item.Revision)
 			}
-			for _, id := range list {
+			for _, id := range state.Loading {
 				loading[id] = true
 			}
+			s.loaded = state.Loaded
 		}
 	}
 	if !maps.Equal(instances, s.instances) {
 		klog.InfoS("instances changed", "count", len(instances))
 	}
 	s.instances, s.loading = instances, loading
+	_, s.locked = items[OrdersLock]
+}
+
+// OrdersFree reports whether no instance holds the lock for orders.
+func (s *State) OrdersFree() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.facts != nil && s.facts.Catalog != nil && !s.locked
+}
+
+// engineGroup is the targets of one service with the newest weight version of one of its models.
+type engineGroup struct {
+	service, model string
+	newest         int
+	targets        map[string]*target
+	born           map[string]int64
+}
+
+// engineGroups returns the groups for which a weight version was named. Leaving targets are left out.
+func (s *State) engineGroups() []engineGroup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.facts == nil || s.facts.Catalog == nil {
+		return nil
+	}
+	var groups []engineGroup
+	for _, decl := range s.facts.Catalog.Services {
+		if decl.Engine == nil {
+			continue
+		}
+		for _, model := range decl.Engine.Models {
+			g := engineGroup{service: decl.Name, model: model, newest: s.facts.Weights[model], targets: map[string]*target{}, born: map[string]int64{}}
+			if g.newest == 0 {
+				continue
+			}
+			for id, t := range s.targets {
+				if t.record.Service == decl.Name && !t.record.Leaving {
+					g.targets[id], g.born[id] = t, t.record.Born
+				}
+			}
+			groups = append(groups, g)
+		}
+	}
+	slices.SortFunc(groups, func(a, b engineGroup) int { return strings.Compare(a.service+"/"+a.model, b.service+"/"+b.model) })
+	return groups
 }
 
 // Peers returns the addresses of the other instances.
@@ -189,6 +237,11 @@
 		old.learn(t.Weights)
 		old.pool.SetLimit(s.connections(t.Service))
 	}
+	for _, l := range s.loaded {
+		if t := s.targets[l.Target]; t != nil && t.record.Born == l.Born {
+			t.learn(map[string]int{l.Model: l.Version})
+		}
+	}
 	for id, t := range s.targets {
 		if !seen[id] {
 			klog.InfoS("target gone", "target", id, "service", t.record.Service)
