--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -102,6 +102,7 @@
 		Returned: func() time.Time { return p.mirror.Returned() },
 		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryTime: s.RetryWindow, PrefillRate: prefillRate,
+		WeightsTime: s.WeightsTime,
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: p.store, Prefix: "", OnChange: p.state.OnChange, FromPeer: p.copyFromPeer})
 	p.engines = platform.NewEngines()
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -257,11 +257,14 @@
 	p := k.pace(store, now)
 	before := p.Share()
 	p.Add(late, bearable, now)
-	if after := p.Share(); (before == 1) != (after == 1) {
+	if after := p.Share(); (before < pacedShare) != (after < pacedShare) {
 		klog.InfoS("fetches from a kept-cache store paced", "store", store, "share", after, "late", late, "bearable", bearable)
 	}
 }
 
+// pacedShare is the share of fetches below which a store is reported as paced.
+const pacedShare = 0.7
+
 // pace returns the pace of the store at the address.
 func (k *Keeper) pace(address string, now time.Time) *storepace.Pace {
 	p, ok := k.paces.Load(address)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/rollout"
+	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 )
 
@@ -23,8 +24,9 @@
 
 // loadState is what the owner of orders tells all instances.
 type loadState struct {
-	Loading []string `json:"loading"` // targets that get no new work
-	Loaded  []loaded `json:"loaded"`  // targets that have loaded, until their own records say so
+	Loading []string       `json:"loading"` // targets that get no new work
+	Loaded  []loaded       `json:"loaded"`  // targets that have loaded, until their own records say so
+	Named   []roster.Named `json:"named"`   // weight versions with their ages, for instances that start later
 }
 
 type loaded struct {
@@ -147,7 +149,7 @@
 
 // publish tells all instances which targets are out. The lock's revision is a condition, so that only its holder can.
 func (o *Orderer) publish(ctx context.Context, out []string, token uint64) bool {
-	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded})
+	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded, Named: o.opts.State.namedWeights(time.Now())})
 	if err != nil {
 		klog.ErrorS(err, "encode load state")
 		return false
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -52,6 +52,8 @@
 	RetryRatio float64
 	RetryExtra float64
 	RetryTime  time.Duration
+	// WeightsTime is how long after its naming a weight version must be in use everywhere.
+	WeightsTime time.Duration
 	// PrefillRate is the rate in tokens per second at which engines are taken to read prompts until it is learned.
 	PrefillRate float64
 }
@@ -61,23 +63,25 @@
 	opts    StateOptions
 	current atomic.Pointer[view]
 
-	mu        sync.Mutex // guards the rest
-	facts     *roster.Facts
-	roster    *roster.Roster
-	targets   map[string]*target
-	budgets   map[string]*retry.Budget
-	prefills  map[string]*prefilltime.Estimator // by service; they outlive views
-	instances map[string]Instance
-	loading   map[string]bool
-	loaded    []loaded
-	locked    bool // an instance holds the lock for orders
-	shared    int  // instances that budgets were made for
+	mu           sync.Mutex // guards the rest
+	facts        *roster.Facts
+	roster       *roster.Roster
+	named        *roster.Weights
+	targets      map[string]*target
+	budgets      map[string]*retry.Budget
+	prefills     map[string]*prefilltime.Estimator // by service; they outlive views
+	instances    map[string]Instance
+	loading      map[string]bool
+	loaded       []loaded
+	loadRevision uint64 // of the load state
+	locked       bool   // an instance holds the lock for orders
+	shared       int    // instances that budgets were made for
 }
 
 // NewState returns a state that knows nothing.
 func NewState(o StateOptions) *State {
 	return &State{
-		opts: o, roster: roster.New(o.Roster), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
+		opts: o, roster: roster.New(o.Roster), named: roster.NewWeights(o.WeightsTime - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
 		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{},
 	}
 }
@@ -90,8 +94,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.facts = s.opts.Records.Update(items)
-	s.readOwn(items)
-	s.rebuild(time.Now())
+	now := time.Now()
+	s.readOwn(items, now)
+	s.rebuild(now)
 }
 
 // Tick drops what has run out since the last change.
@@ -106,7 +111,7 @@
 	}
 }
 
-func (s *State) readOwn(items map[string]metastore.Item) {
+func (s *State) readOwn(items map[string]metastore.Item, now time.Time) {
 	instances := map[string]Instance{}
 	loading := map[string]bool{}
 	for key, item := range items {
@@ -126,6 +131,12 @@
 				loading[id] = true
 			}
 			s.loaded = state.Loaded
+			if item.Revision != s.loadRevision {
+				s.loadRevision = item.Revision
+				for _, n := range state.Named {
+					s.named.Saw(n.Model, n.Version, n.Age, now)
+				}
+			}
 		}
 	}
 	if !maps.Equal(instances, s.instances) {
@@ -135,6 +146,13 @@
 	_, s.locked = items[OrdersLock]
 }
 
+// namedWeights returns the weight versions seen, with their ages.
+func (s *State) namedWeights(now time.Time) []roster.Named {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.named.All(now)
+}
+
 // OrdersFree reports whether no instance holds the lock for orders.
 func (s *State) OrdersFree() bool {
 	s.mu.Lock()
@@ -210,6 +228,9 @@
 	if s.shared != v.instances {
 		s.shared, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
+	for model, version := range v.weights {
+		s.named.Saw(model, version, 0, now)
+	}
 	hashes := s.instanceHashes()
 	for name, decl := range v.catalog.Services {
 		var before *routing.Snapshot
@@ -312,6 +333,7 @@
 			if t.version(model) < v.weights[model] {
 				c.Penalty = oldWeights
 			}
+			c.Out = c.Out || t.version(model) < s.named.Least(model, now)
 		}
 	}
 	if share := s.coldShare(t, decl, hashes, now); share != nil {
@@ -361,6 +383,8 @@
 	budgetRatioUsed = 0.7
 	budgetExtraUsed = 0.4
 	budgetBurst     = 0.3
+	// weightsMargin is the time that a request may wait at a target before it begins, and the lag of the view.
+	weightsMargin = 1200 * time.Millisecond
 	// crossDomain is the one-way time between failure domains: about a millisecond within a region.
 	crossDomain = time.Millisecond
 	// oldWeights is added to the cost of a target on old weights: an answer made there is worth less, but not so much
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -92,7 +92,8 @@
 	return p.step(byID, most, now)
 }
 
-// admit takes further targets out of service, busy ones first: those load already.
+// admit takes further targets out of service: busy ones first, since they load already, then those on the oldest weights,
+// whose time runs out first.
 func (p *Plan) admit(old []*Target, most int, now time.Time) {
 	slices.SortStableFunc(old, func(a, b *Target) int {
 		if a.Busy != b.Busy {
@@ -101,7 +102,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.ID, b.ID))
 	})
 	for _, t := range old {
 		if len(p.out) >= most {
--- /dev/null
+++ b/internal/roster/weights.go
@@ -0,0 +1,78 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Weights remembers when each weight version was first seen. A version must be in place everywhere within a bound, and
+// from then on targets on older ones get no work. It is not safe for concurrent use.
+type Weights struct {
+	bound time.Duration
+	named map[string][]namedVersion // by model, oldest first
+}
+
+type namedVersion struct {
+	version int
+	seen    time.Time
+}
+
+// NewWeights returns an empty record. bound is the time from the naming of a version to its use everywhere.
+func NewWeights(bound time.Duration) *Weights {
+	return &Weights{bound: bound, named: map[string][]namedVersion{}}
+}
+
+// Saw notes that a version of a model was named at least age ago.
+func (w *Weights) Saw(model string, version int, age time.Duration, now time.Time) {
+	seen := now.Add(-age)
+	list := w.named[model]
+	for i := range list {
+		if list[i].version == version {
+			list[i].seen = earlier(list[i].seen, seen)
+			return
+		}
+	}
+	list = append(list, namedVersion{version: version, seen: seen})
+	slices.SortFunc(list, func(a, b namedVersion) int { return cmp.Compare(a.version, b.version) })
+	w.named[model] = list
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Named is a version with the time since it was first seen.
+type Named struct {
+	Model   string        `json:"model"`
+	Version int           `json:"version"`
+	Age     time.Duration `json:"age"` // nanoseconds
+}
+
+// All returns all versions seen, for instances that start later. They are ordered by model and version.
+func (w *Weights) All(now time.Time) []Named {
+	var out []Named
+	for model, list := range w.named {
+		for _, n := range list {
+			out = append(out, Named{Model: model, Version: n.version, Age: now.Sub(n.seen)})
+		}
+	}
+	slices.SortFunc(out, func(a, b Named) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
+
+// Least returns the oldest version of a model that may still run new requests.
+func (w *Weights) Least(model string, now time.Time) int {
+	least := 0
+	for _, n := range w.named[model] {
+		if now.Sub(n.seen) >= w.bound {
+			least = n.version
+		}
+	}
+	return least
+}
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -26,14 +26,14 @@
 // concurrent use. The zero value is ready.
 type Stats struct {
 	load         atomic.Pointer[reported]
-	starts       atomic.Int64 // attempts ever sent by this entry
-	inFlight     atomic.Int64 // attempts of this entry that have not ended
-	backoffUntil atomic.Int64 // unix nanoseconds
-	meanRun      atomic.Int64 // nanoseconds, moving average of finished runs
-	prefillRate  atomic.Int64 // tokens per second; zero is not known
+	starts       atomic.Int64            // attempts ever sent by this entry
+	inFlight     atomic.Int64            // attempts of this entry that have not ended
+	backoffUntil atomic.Int64            // unix nanoseconds
+	meanRun      atomic.Int64            // nanoseconds, moving average of finished runs
+	prefillRate  atomic.Int64            // tokens per second; zero is not known
 	pending      [Urgencies]atomic.Int64 // prompt tokens, by urgency, that this entry has sent and the target has not read
-	waitingSince atomic.Int64 // unix nanoseconds since which attempts are in flight without a pause
-	heardAt      atomic.Int64 // unix nanoseconds of the last bytes from the target
+	waitingSince atomic.Int64            // unix nanoseconds since which attempts are in flight without a pause
+	heardAt      atomic.Int64            // unix nanoseconds of the last bytes from the target
 }
 
 // meanRunShift is the base-two logarithm of the weight of history in the moving average of run times.
