--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -92,7 +92,6 @@
 				klog.InfoS("metadata store reached again", "revision", m.asOf, "failures", failures, "outage", now.Sub(lostAt))
 				m.returned.Store(now.UnixNano())
 				failures = 0
-				synced = false // leases may have lapsed: read all, so that nothing is missed
 			}
 			m.contact.Store(now.UnixNano())
 			continue
@@ -105,6 +104,8 @@
 			klog.InfoS("metadata store lost", "revision", m.asOf, "err", err.Error())
 		}
 		failures++
+		// A reading answers at once when the store is back, and leases may have lapsed unseen.
+		synced = false
 		m.askPeer(ctx, now.Sub(lostAt))
 		pause := min(retryLeast<<min(failures, 6), retryMost)
 		_ = sleep.For(ctx, pause/2+rand.N(pause/2)) // the loop looks at ctx itself
