--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 type Kept interface {
 	// Held returns for each part the store to fetch it from, empty for none. draw is uniform in [0, 1).
 	Held(scope string, parts []Part, draw float64, now time.Time) []string
+	// FetchEnd returns what the targets' clock shows after d, zero if it is unknown.
+	FetchEnd(d time.Duration) int64
 	// Fetched takes in by how much a request that fetched from the store came later than others, and what is bearable.
 	Fetched(store string, late, bearable time.Duration, now time.Time)
 	// Save returns for each part the store to save it to, empty for none.
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -35,6 +35,7 @@
 	// instance with a fresh view has stopped fetching them.
 	current func(now time.Time) bool
 
+	clock enginesClock
 	paces sync.Map // *storepace.Pace by store address
 
 	mu       sync.Mutex
@@ -149,6 +150,7 @@
 	if err != nil {
 		return 0, false, err
 	}
+	k.clock.set(e.Clock)
 	if e.Gap || !k.directory.Apply(s.Name, e.Epoch, changes(e.Events), time.Now()) {
 		klog.InfoS("changes of a kept-cache store missed", "store", s.Name, "epoch", e.Epoch, "gap", e.Gap)
 		return 0, false, nil
@@ -164,13 +166,14 @@
 	return out
 }
 
-// watch starts and stops readers to match the engines in use.
+// watch starts and stops readers to match the engines in use. Memory turns over within seconds, so where a target does not
+// hold a reading for every instance at once the index would come too late to pay for itself.
 func (k *Keeper) watch(ctx context.Context, v *view) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	present := map[string]bool{}
 	for _, sv := range v.services {
-		if sv.Engine == nil {
+		if sv.Engine == nil || float64(v.instances) > readersUsed*float64(sv.Engine.MaxReaders) {
 			continue
 		}
 		for id, t := range sv.targets {
@@ -213,7 +216,6 @@
 			continue
 		}
 		next, epoch = e.Next, e.Epoch
-		t.setClock(e.Clock)
 		list := make([]holders.Change, len(e.Events))
 		for i, ev := range e.Events {
 			list[i] = holders.Change{Key: holders.Key{Scope: ev.Scope, Part: ev.PartID}, Tokens: ev.Tokens}
@@ -288,6 +290,9 @@
 	return from
 }
 
+// FetchEnd implements Kept.
+func (k *Keeper) FetchEnd(d time.Duration) int64 { return k.clock.after(d) }
+
 // Fetched implements Kept.
 func (k *Keeper) Fetched(store string, late, bearable time.Duration, now time.Time) {
 	p := k.pace(store, now)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -19,7 +19,10 @@
 	// orderPeriod is how often the owner of orders looks at the targets that load: loads take seconds.
 	orderPeriod = 150 * time.Millisecond
 	// orderSettle is how long the other instances have to take a target out before it is told to load.
-	orderSettle = 100 * time.Millisecond
+	orderSettle = 250 * time.Millisecond
+	// publishPerInstance is the time between two publications for each instance, so that they cost the metadata store a
+	// few dozen calls a second.
+	publishPerInstance = 25 * time.Millisecond
 	// freeAfter is the time from the retirement of a weight version until its parts are freed: the age of the oldest view
 	// of the metadata that is used for a fetch, the longest fetch, and a margin.
 	freeAfter = FreshMetadata + FetchLimit + time.Second
@@ -54,15 +57,16 @@
 
 // Orderer gives targets the order to load new weights, while it holds the lock for orders.
 type Orderer struct {
-	opts      OrdererOptions
-	plans     map[string]*rollout.Plan // by service and model
-	reports   map[string]TargetReport  // of targets that are out, by ID
-	published []string
-	retired   map[string]int
-	retiredAt map[string]time.Time // when the retirement was published
-	settled   time.Time            // when the published list is known everywhere
-	loaded    []loaded
-	freed     time.Time // last look for parts to free
+	opts        OrdererOptions
+	plans       map[string]*rollout.Plan // by service and model
+	reports     map[string]TargetReport  // of targets that are out, by ID
+	published   []string
+	retired     map[string]int
+	retiredAt   map[string]time.Time // when the retirement was published
+	publishedAt time.Time
+	settled     time.Time // when the published list is known everywhere
+	loaded      []loaded
+	freed       time.Time // last look for parts to free
 }
 
 // NewOrderer returns an orderer.
@@ -124,7 +128,7 @@
 		}
 	}
 	slices.Sort(out)
-	if (changed || !slices.Equal(out, o.published)) && !o.publish(ctx, out, token) {
+	if (changed || !slices.Equal(out, o.published)) && (now.Before(o.nextPublish()) || !o.publish(ctx, out, token)) {
 		return
 	}
 	o.free(ctx, now)
@@ -138,6 +142,11 @@
 	}
 }
 
+// nextPublish returns when the load state may be published again: each time wakes every instance.
+func (o *Orderer) nextPublish() time.Time {
+	return o.publishedAt.Add(time.Duration(o.opts.State.instanceCount()) * publishPerInstance)
+}
+
 // observe returns the targets of a group. Those that are out are asked; the others are known by their records.
 func (o *Orderer) observe(ctx context.Context, g engineGroup) []rollout.Target {
 	var list []rollout.Target
@@ -188,7 +197,8 @@
 			o.retiredAt[model] = time.Now()
 		}
 	}
-	o.published, o.settled = out, time.Now().Add(orderSettle)
+	o.published, o.publishedAt = out, time.Now()
+	o.settled = o.publishedAt.Add(orderSettle)
 	return true
 }
 
--- a/internal/gateway/prefix.go
+++ b/internal/gateway/prefix.go
@@ -159,7 +159,13 @@
 	}
 	st := rq.scopeState(p, s.Weights, now)
 	s.FetchFrom = make([]string, len(rq.call.Parts))
-	copy(s.FetchFrom, st.stored)
+	kept := rq.gateway.opts.Kept
+	if kept != nil {
+		s.FetchUntil = kept.FetchEnd(min(time.Duration(fetchShare*float64(rq.route.Objective)), FetchLimit))
+	}
+	if s.FetchUntil > 0 {
+		copy(s.FetchFrom, st.stored) // without an end a fetch might meet the freeing of what it reads
+	}
 	if st.holder != nil && st.holder != t {
 		for i := range p.shared {
 			if s.FetchFrom[i] == "" {
@@ -167,8 +173,7 @@
 			}
 		}
 	}
-	s.FetchUntil = t.clockAfter(min(time.Duration(fetchShare*float64(rq.route.Objective)), FetchLimit))
-	if kept := rq.gateway.opts.Kept; kept != nil && s.Weights > rq.view.retired[rq.call.Model] {
+	if kept != nil && s.Weights > rq.view.retired[rq.call.Model] {
 		s.SaveTo = make([]string, len(rq.call.Parts))
 		copy(s.SaveTo, kept.Save(s.CacheScope, p.shared, now))
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -200,6 +200,13 @@
 	return groups
 }
 
+// instanceCount returns the number of live instances, at least one.
+func (s *State) instanceCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(len(s.instances), 1)
+}
+
 // Peers returns the addresses of the other instances.
 func (s *State) Peers() []string {
 	s.mu.Lock()
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/coldshare"
 	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/routing"
@@ -31,7 +30,6 @@
 	weights  atomic.Pointer[map[string]int] // newest known weight version by model
 	reports  atomic.Uint64
 	failures atomic.Int64 // in a row
-	clock    atomic.Int64 // milliseconds by which its clock is ahead of bootclock; zero if unknown
 
 	// The rest belongs to State and is guarded by its lock.
 	record    roster.Target
@@ -102,21 +100,5 @@
 	t.stats.Heard(now)
 }
 
-// setClock takes in what the target's clock shows.
-func (t *target) setClock(ms int64) {
-	if ms > 0 {
-		t.clock.Store(ms - bootclock.Now().Milliseconds())
-	}
-}
-
-// clockAfter returns what the target's clock shows after d, zero if that is unknown.
-func (t *target) clockAfter(d time.Duration) int64 {
-	ahead := t.clock.Load()
-	if ahead == 0 {
-		return 0
-	}
-	return ahead + (bootclock.Now() + d).Milliseconds()
-}
-
 // connect returns a connection for one request. The time limit is the pool's own and the request's.
 func (t *target) connect(ctx context.Context) (*targetconn.Conn, error) { return t.pool.Get(ctx) }
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -17,6 +17,8 @@
 	// watchWait is the longest wait of one watch. A connection that fell silent shows by its end, so it is well below
 	// the time within which a new configuration must be in force.
 	watchWait = time.Second
+	// watchPause collects changes before the next watch: a change that comes in several steps costs one call.
+	watchPause = 200 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -94,6 +96,7 @@
 				failures = 0
 			}
 			m.contact.Store(now.UnixNano())
+			_ = sleep.For(ctx, watchPause) // the loop looks at ctx itself
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -10,6 +10,9 @@
 	"github.com/egrethoist/egrethoist/internal/metastore/memory"
 )
 
+// collected is longer than changes are collected before the mirror asks for them.
+const collected = 300 * time.Millisecond
+
 // follow starts a mirror and returns a function that gives the value under a key as the mirror has it.
 func follow(t *testing.T, o metastore.MirrorOptions) (*metastore.Mirror, func(key string) string) {
 	t.Helper()
@@ -25,7 +28,11 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = m.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return m, func(key string) string { synctest.Wait(); return last[key] }
+	return m, func(key string) string {
+		time.Sleep(collected)
+		synctest.Wait()
+		return last[key]
+	}
 }
 
 func TestMirrorFollowsChanges(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,7 +20,7 @@
 	Leaving       bool
 	ColdFor       time.Duration  // how much longer it is cold, as of the writing
 	Weights       map[string]int // weight version by model
-	Born          int64          // tells its incarnations apart; zero if unknown
+	Born          int64          // Unix milliseconds of its start, which tell its incarnations apart; zero if unknown
 }
 
 // Facts is all that operators and targets say.
@@ -39,6 +39,17 @@
 	Lapsed    bool // its record is missing since an outage of the store
 }
 
+// clockSlack is by how much the time of day may differ between a target and this instance, jumps included.
+const clockSlack = 10 * time.Second
+
+// age returns the time since the target's start by the time of day, zero if unknown.
+func (r *Record) age(now time.Time) time.Duration {
+	if r.Born <= 0 {
+		return 0
+	}
+	return time.Duration(now.UnixMilli()-r.Born) * time.Millisecond
+}
+
 // Options tune a Roster.
 type Options struct {
 	// LapseGrace is how long a target whose record lapsed during an outage of the store is still used after the store
@@ -86,8 +97,12 @@
 	t := r.targets[record.ID]
 	if t == nil || t.Born != record.Born || t.Address != record.Address {
 		// How long ago the record was written is unknown, so a target new to this process counts as cold for the
-		// whole time that its service declares.
-		t = &Target{ColdUntil: now.Add(coldTime(c, record.Service))}
+		// whole time that its service declares, unless it was started long before.
+		cold := coldTime(c, record.Service)
+		if t == nil && record.age(now) > cold+clockSlack {
+			cold = 0
+		}
+		t = &Target{ColdUntil: now.Add(cold)}
 		r.targets[record.ID] = t
 	}
 	if until := now.Add(record.ColdFor); record.ColdFor > 0 && record.ColdFor != t.ColdFor && until.After(t.ColdUntil) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -23,7 +23,7 @@
 }
 
 func record(id string) Record {
-	return Record{ID: id, Service: "s", Address: "10.0.0.1:80", FailureDomain: "d1", Slots: 4, Born: 1}
+	return Record{ID: id, Service: "s", Address: "10.0.0.1:80", FailureDomain: "d1", Slots: 4, Born: epoch.UnixMilli()}
 }
 
 func usable(r *Roster) int { return len(r.Usable()) }
@@ -80,7 +80,7 @@
 	r.Update(facts(record("a")), time.Time{}, epoch)
 	later := epoch.Add(time.Minute)
 	again := record("a")
-	again.Born = 2
+	again.Born = later.UnixMilli()
 	r.Update(facts(again), time.Time{}, later)
 	if until := r.Usable()[0].ColdUntil; until.Before(later.Add(3 * time.Second)) {
 		t.Errorf("cold until %v, want three seconds after the restart", until.Sub(later))
@@ -153,3 +153,19 @@
 		t.Errorf("least %d at the bound, want 2", got)
 	}
 }
+
+// An instance that restarts must not treat a fleet that has long been warm as cold: it would refuse most of its callers.
+func TestLongRunningTargetIsWarmForANewInstance(t *testing.T) {
+	r := New(Options{})
+	now := epoch.Add(time.Minute)
+	r.Update(facts(record("a")), time.Time{}, now)
+	if until := r.Usable()[0].ColdUntil; until.After(now) {
+		t.Errorf("cold for %v more, started a minute ago", until.Sub(now))
+	}
+	young := record("b")
+	young.Born = now.Add(-5 * time.Second).UnixMilli()
+	r.Update(facts(young), time.Time{}, now)
+	if until := r.Usable()[0].ColdUntil; until.Before(now.Add(3 * time.Second)) {
+		t.Error("a target started five seconds ago by a clock that may be off counts as warm")
+	}
+}
