--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -137,7 +137,7 @@
 			if item.Revision != s.loadRevision {
 				s.loadRevision = item.Revision
 				for _, n := range state.Named {
-					s.named.Saw(n.Model, n.Version, n.Age, now)
+					s.named.Saw(n.Model, n.Version, n.AgeAt(now), now)
 				}
 			}
 		}
