--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -16,13 +17,9 @@
 )
 
 const (
-	// storeWait is how long a store holds a reading of its changes. Shorter ones count as probes.
-	storeWait = 400 * time.Millisecond
-	// storePause collects changes before the next reading.
-	storePause = 400 * time.Millisecond
-	storeRetry = 300 * time.Millisecond
-	// readersUsed is the part of the readings that a store holds at once which instances may take up.
-	readersUsed = 0.75
+	// followPeriod is how often the declared stores and targets are looked at.
+	followPeriod = 400 * time.Millisecond
+	storeRetry   = 300 * time.Millisecond
 )
 
 // Keeper follows the kept-cache stores and answers what to fetch and what to save. It implements Kept.
@@ -54,7 +51,7 @@
 // Run follows the stores of the configuration in force until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	var revision uint64
-	for sleep.For(ctx, storePause) == nil {
+	for sleep.For(ctx, followPeriod) == nil {
 		v := k.state.current.Load()
 		if v == nil {
 			continue
@@ -106,6 +103,11 @@
 		} else {
 			next, known, err = k.events(ctx, s, next)
 		}
+		if errors.Is(err, ErrBusy) {
+			// Too many instances read at once: what is known stays, and ages until the next reading.
+			_ = sleep.For(ctx, jitter(storeRetry)) // the loop looks at ctx itself
+			continue
+		}
 		if err != nil && ctx.Err() == nil {
 			k.directory.Lost(s.Name)
 			known = false
@@ -120,18 +122,17 @@
 			lost = false
 			klog.InfoS("kept-cache store reached again", "store", s.Name, "address", s.Address)
 		}
-		_ = sleep.For(ctx, k.restBetween(s.MaxReaders)) // the loop looks at ctx itself
+		_ = sleep.For(ctx, jitter(k.reading(s.MaxReaders).pause)) // the loop looks at ctx itself
 	}
 }
 
-// restBetween spreads the readings of all instances so that a store or target does not hold too many.
-func (k *Keeper) restBetween(readers int) time.Duration {
-	v := k.state.current.Load()
-	if v == nil || readers <= 0 {
-		return storePause
+// reading returns how a store or target that holds so many readings at once is read.
+func (k *Keeper) reading(readers int) readingPlan {
+	instances := 1
+	if v := k.state.current.Load(); v != nil {
+		instances = v.instances
 	}
-	share := float64(v.instances) / (readersUsed * float64(readers)) // of the readings that would be held at once
-	return max(storePause, time.Duration(share*float64(storeWait))-storeWait)
+	return planReading(instances, readers)
 }
 
 func (k *Keeper) list(ctx context.Context, s catalog.Store) (uint64, error) {
@@ -146,7 +147,10 @@
 
 // events reads the changes since. It returns false if the content must be read anew.
 func (k *Keeper) events(ctx context.Context, s catalog.Store, since uint64) (uint64, bool, error) {
-	e, err := k.engines.StoreEvents(ctx, s.Address, since, storeWait)
+	e, err := k.engines.StoreEvents(ctx, s.Address, since, k.reading(s.MaxReaders).wait)
+	if errors.Is(err, ErrBusy) {
+		return since, true, err
+	}
 	if err != nil {
 		return 0, false, err
 	}
@@ -173,7 +177,7 @@
 	defer k.mu.Unlock()
 	present := map[string]bool{}
 	for _, sv := range v.services {
-		if sv.Engine == nil || float64(v.instances) > readersUsed*float64(sv.Engine.MaxReaders) {
+		if sv.Engine == nil || !planReading(v.instances, sv.Engine.MaxReaders).all {
 			continue
 		}
 		for id, t := range sv.targets {
@@ -199,7 +203,8 @@
 	defer k.holders.Drop(t.id)
 	next, epoch, failures := uint64(0), uint64(0), 0
 	for ctx.Err() == nil {
-		e, err := k.engines.StoreEvents(ctx, t.address, next, storeWait)
+		plan := k.reading(readers)
+		e, err := k.engines.StoreEvents(ctx, t.address, next, plan.wait)
 		if err != nil {
 			failures++
 			if failures == lostAfter && ctx.Err() == nil {
@@ -224,7 +229,7 @@
 			}
 		}
 		k.holders.Apply(t.id, e.Epoch, list)
-		_ = sleep.For(ctx, k.restBetween(readers)) // the loop looks at ctx itself
+		_ = sleep.For(ctx, jitter(plan.pause)) // the loop looks at ctx itself
 	}
 }
 
