--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -25,7 +25,7 @@
 
 // memoryWait estimates the wait until the target has memory for the request.
 func (rq *request) memoryWait(t *target) time.Duration {
-	capacity := rq.service.Engine.CacheTokens
+	capacity := usableMemory(rq.service.Engine)
 	if capacity <= 0 {
 		return 0
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -340,7 +340,7 @@
 		c.Distance = crossDomain
 	}
 	if decl.Engine != nil {
-		c.Memory = decl.Engine.CacheTokens
+		c.Memory = usableMemory(decl.Engine)
 		for _, model := range decl.Engine.Models {
 			if t.version(model) < v.weights[model] {
 				c.Penalty = oldWeights
@@ -389,7 +389,12 @@
 	return b
 }
 
+// usableMemory is the part of a target's cache memory that running requests are to take: beyond it the target puts them
+// back and reads them again, and what the other instances have just sent is not known yet.
+func usableMemory(e *catalog.Engine) int { return int(memoryUsed * float64(e.CacheTokens)) }
+
 const (
+	memoryUsed = 0.5
 	// budgetRatioUsed, budgetExtraUsed and budgetBurst are the parts of the bounds on retries that are used: what is
 	// left covers instances that start anew with a full budget.
 	budgetRatioUsed = 0.7
