--- a/cmd/egret-gateway/main.go
+++ b/cmd/egret-gateway/main.go
@@ -29,7 +29,9 @@
 		return
 	}
 	lines := logline.New(os.Stdout)
-	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(lines, nil)))
+	logger := slog.New(slog.NewJSONHandler(lines, nil))
+	slog.SetDefault(logger)
+	klog.SetSlogLogger(logger)
 	err = serve(settings)
 	if err != nil {
 		klog.ErrorS(err, "stopped by an error")
--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -198,7 +200,7 @@
 		return trace.Wrap(err, "listen for callers")
 	}
 	// The data path needs the request's path byte for byte and has one handler, so it uses no router.
-	callers := &http.Server{Handler: p.gateway, ErrorLog: nil, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: p.gateway, ErrorLog: serverLog(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.serve(callers, front)
 	ready := newEcho()
 	ready.GET("/egrethoist/ready", p.ready)
@@ -222,6 +224,9 @@
 	idleTimeout = time.Minute
 )
 
+// serverLog sends what a server reports, such as a panic in a handler, to the structured log.
+func serverLog() *log.Logger { return slog.NewLogLogger(slog.Default().Handler(), slog.LevelError) }
+
 func newEcho() *echo.Echo {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -233,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	p.serve(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
+	p.serve(&http.Server{Handler: handler, ErrorLog: serverLog(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,11 +217,11 @@
 		workspace = rq.workspace.Name
 	}
 	took := time.Since(rq.arrived)
-	rq.gateway.metrics.request(rq.outcome, took)
 	first := time.Duration(0)
 	if !rq.firstAt.IsZero() {
 		first = rq.firstAt.Sub(rq.arrived)
 	}
+	rq.gateway.metrics.request(rq.outcome, rq.status, took, first)
 	revision := uint64(0)
 	if rq.view != nil {
 		revision = rq.view.revision
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -8,13 +9,12 @@
 
 // metrics counts what the gateway does.
 type metrics struct {
-	scope     tally.Scope
 	took      tally.Histogram
 	first     tally.Histogram
 	answered  tally.Counter
-	refused   tally.Counter
+	refused   tally.Counter // with the promise that it has not run
 	failed    tally.Counter
-	brokenOff tally.Counter
+	brokenOff tally.Counter // in the middle of the answer
 	retries   tally.Counter
 }
 
@@ -22,17 +22,24 @@
 
 func newMetrics(s tally.Scope) metrics {
 	return metrics{
-		scope: s, took: s.Histogram("request_seconds", latencyBuckets), first: s.Histogram("first_byte_seconds", latencyBuckets),
+		took: s.Histogram("request_seconds", latencyBuckets), first: s.Histogram("first_byte_seconds", latencyBuckets),
 		answered: s.Counter("requests_answered"), refused: s.Counter("requests_refused"), failed: s.Counter("requests_failed"),
 		brokenOff: s.Counter("answers_broken_off"), retries: s.Counter("retries"),
 	}
 }
 
-func (m *metrics) request(outcome string, took time.Duration) {
+// request counts a request that has ended. first is the time to the first byte of the answer, zero if there was none.
+func (m *metrics) request(outcome string, status int, took, first time.Duration) {
 	m.took.RecordDuration(took)
-	if outcome == outcomeAnswered {
+	if first > 0 {
+		m.first.RecordDuration(first)
+	}
+	switch {
+	case outcome == outcomeAnswered:
 		m.answered.Inc(1)
-	} else {
+	case status == http.StatusServiceUnavailable:
+		m.refused.Inc(1)
+	default:
 		m.failed.Inc(1)
 	}
 }
--- a/internal/kvcache/directory/directory.go
+++ b/internal/kvcache/directory/directory.go
@@ -17,8 +17,9 @@
 	// FreshFor is how long a reading of a store's changes may be used. Every instance stops using a store that it has
 	// not heard of for so long.
 	FreshFor = 1500 * time.Millisecond
-	// FetchLimit is the longest time from a request's sending until its fetch has ended or is thrown away.
-	FetchLimit = 2500 * time.Millisecond
+	// FetchLimit is the longest time from a request's sending until its fetch has ended or is thrown away: callers expect the
+	// first token within about a second.
+	FetchLimit = time.Second
 	// Settle is how long nothing is saved to a store that restarted: until then another instance may take a part of
 	// before for complete, and fetch it while it is written anew.
 	Settle = FreshFor + FetchLimit
--- a/internal/metastore/lock.go
+++ b/internal/metastore/lock.go
@@ -29,17 +29,26 @@
 	TTL   time.Duration
 	// Free reports whether the lock seems to be free, by the local mirror.
 	Free func() bool
+	// Clock also counts the time for which the machine is suspended; nil: bootclock.Now.
+	Clock func() time.Duration
 
 	mu    sync.Mutex
 	token uint64
-	until time.Duration // on bootclock; zero if not held
+	until time.Duration // on the clock; zero if not held
 }
 
 // Token returns the fencing token, and false if the lock is not held or may soon not be.
 func (l *Lock) Token() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.token, l.until > bootclock.Now()
+	return l.token, l.until > l.clock()
+}
+
+func (l *Lock) clock() time.Duration {
+	if l.Clock != nil {
+		return l.Clock()
+	}
+	return bootclock.Now()
 }
 
 // Drop gives the lock up, as when another holder's token was seen.
@@ -62,7 +71,7 @@
 
 // hold takes the lock and renews it until it is lost.
 func (l *Lock) hold(ctx context.Context) {
-	started := bootclock.Now()
+	started := l.clock()
 	lease, ttl, err := l.Store.Grant(ctx, l.TTL)
 	if err != nil {
 		klog.InfoS("lock not taken", "key", l.Key, "err", err.Error())
@@ -90,7 +99,7 @@
 
 func (l *Lock) renew(ctx context.Context, lease LeaseID, ttl, usable time.Duration) {
 	for sleep.For(ctx, ttl/lockRenewals) == nil {
-		started := bootclock.Now()
+		started := l.clock()
 		err := l.Store.KeepAlive(ctx, lease)
 		switch {
 		case err == nil && l.held():
--- a/internal/metastore/lock_test.go
+++ b/internal/metastore/lock_test.go
@@ -14,10 +14,11 @@
 
 func startLock(t *testing.T, store *memory.Store, self string) *metastore.Lock {
 	t.Helper()
-	l := &metastore.Lock{Store: store, Key: lockKey, Self: self, TTL: 3 * time.Second, Free: func() bool {
-		_, taken := store.Get(lockKey)
-		return !taken
-	}}
+	l := &metastore.Lock{
+		Store: store, Key: lockKey, Self: self, TTL: 3 * time.Second,
+		Free:  func() bool { _, taken := store.Get(lockKey); return !taken },
+		Clock: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = l.Run(ctx) }()
@@ -86,6 +87,20 @@
 	})
 }
 
+// A holder that can't renew stops using the lock before its lease can have ended.
+func TestLockEndsBeforeItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		l := startLock(t, store, "a")
+		time.Sleep(time.Second)
+		store.SetFault(func(string) error { return metastore.ErrUnavailable })
+		time.Sleep(2500 * time.Millisecond)
+		if _, ok := holds(l); ok {
+			t.Error("still held 2.5 s after the last renewal could have been made, the lease is 3 s")
+		}
+	})
+}
+
 func TestLockDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,13 @@
 // follow starts a mirror and returns a function that gives the value under a key as the mirror has it.
 func follow(t *testing.T, o metastore.MirrorOptions) (*metastore.Mirror, func(key string) string) {
 	t.Helper()
-	var last map[string]string
+	var last atomic.Pointer[map[string]string]
 	o.OnChange = func(items map[string]metastore.Item) {
-		last = map[string]string{}
+		values := map[string]string{}
 		for k, item := range items {
-			last[k] = string(item.Value)
+			values[k] = string(item.Value)
 		}
+		last.Store(&values)
 	}
 	m := metastore.NewMirror(o)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -31,7 +33,11 @@
 	return m, func(key string) string {
 		time.Sleep(collected)
 		synctest.Wait()
-		return last[key]
+		values := last.Load()
+		if values == nil {
+			return ""
+		}
+		return (*values)[key]
 	}
 }
 
@@ -97,9 +103,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
 		store.Put("a", []byte("1"))
-		peer := metastore.Copy{AsOf: 100, Items: []metastore.Item{{Key: "a", Value: []byte("2"), Revision: 99}}}
+		var peer atomic.Pointer[metastore.Copy]
+		peer.Store(&metastore.Copy{AsOf: 100, Items: []metastore.Item{{Key: "a", Value: []byte("2"), Revision: 99}}})
 		_, get := follow(t, metastore.MirrorOptions{
-			Store: store, FromPeer: func(context.Context) (metastore.Copy, error) { return peer, nil },
+			Store: store, FromPeer: func(context.Context) (metastore.Copy, error) { return *peer.Load(), nil },
 		})
 		get("a")
 		store.SetFault(func(string) error { return metastore.ErrUnavailable })
@@ -107,7 +114,7 @@
 		if got := get("a"); got != "2" {
 			t.Fatalf("value %q, want the peer's", got)
 		}
-		peer = metastore.Copy{AsOf: 50, Items: []metastore.Item{{Key: "a", Value: []byte("0"), Revision: 49}}}
+		peer.Store(&metastore.Copy{AsOf: 50, Items: []metastore.Item{{Key: "a", Value: []byte("0"), Revision: 49}}})
 		time.Sleep(2 * time.Second)
 		if got := get("a"); got != "2" {
 			t.Errorf("value %q: gone back to an older copy", got)
--- /dev/null
+++ b/internal/targetconn/targetconn_test.go
@@ -0,0 +1,170 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// serve accepts connections and hands each to the handler.
+func serve(t *testing.T, handle func(conn net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// exchange sends a request and reads its answer.
+func exchange(t *testing.T, p *Pool, r *Request) string {
+	t.Helper()
+	conn, err := p.Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := conn.Send(t.Context(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Finish()
+	return string(body)
+}
+
+func get(uri string) *Request {
+	return &Request{Method: http.MethodGet, URI: uri, Host: "h", Header: http.Header{"X": {"1"}}}
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	conns := make(chan struct{}, 10)
+	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		conns <- struct{}{}
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, okAnswer); err != nil {
+				return
+			}
+		}
+	})
+	p := NewPool(address, 5)
+	for range 3 {
+		if got := exchange(t, p, get("/a")); got != "ok" {
+			t.Fatalf("answer %q", got)
+		}
+	}
+	if len(conns) != 1 {
+		t.Errorf("%d connections for three requests", len(conns))
+	}
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	address := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	p := NewPool(address, 1)
+	if _, err := p.Get(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Get(t.Context()); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("error %v for a second connection, want %v", err, ErrNoConnection)
+	}
+}
+
+// A target that answers before it has read a long body reads on. The connection must not carry another request, whose
+// bytes would stand where the rest of the body is due.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	conns := make(chan struct{}, 10)
+	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		conns <- struct{}{}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, okAnswer); err != nil {
+			return
+		}
+		if req.ContentLength > 0 {
+			_, _ = r.Peek(1)
+			select {} // never reads the body
+		}
+	})
+	p := NewPool(address, 5)
+	long := &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 64<<20))}
+	if got := exchange(t, p, long); got != "ok" {
+		t.Fatalf("answer %q", got)
+	}
+	if got := exchange(t, p, get("/next")); got != "ok" {
+		t.Fatalf("answer %q", got)
+	}
+	if len(conns) != 2 {
+		t.Errorf("%d connections, want a new one for the second request", len(conns))
+	}
+}
+
+func TestBrokenBodyIsAnError(t *testing.T) {
+	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf")
+		}
+	})
+	conn, err := NewPool(address, 1).Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := conn.Send(t.Context(), get("/"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(e); err == nil {
+		t.Error("half a body read without an error")
+	}
+	e.Abort()
+}
+
+// The end of the request's context closes the connection, by which the target learns of it, and is the error.
+func TestCancelCloses(t *testing.T) {
+	received, closed := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		close(received)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	conn, err := NewPool(address, 1).Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	reason := errors.New("reason")
+	go func() { <-received; cancel(reason) }()
+	if _, err := conn.Send(ctx, get("/")); !errors.Is(err, reason) {
+		t.Errorf("error %v, want the reason of the cancel", err)
+	}
+	<-closed
+}
