The time at which a weight version was named is recorded in the store

Ruled out: clock steps (the processes' times agree). Now any instance records the naming at once, and ages run on while all are down.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -126,6 +126,7 @@
 	lock := &metastore.Lock{Store: p.store, Key: gateway.OrdersLock, Self: p.settings.Name, TTL: p.settings.LeaseTime, Free: p.state.OrdersFree}
 	p.group.add(lock.Run)
 	orderer := gateway.NewOrderer(gateway.OrdererOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Keeper: p.keeper})
+	p.group.add((&gateway.NamingRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add(p.keeper.Run)
 	p.group.add(gateway.NewGossip(p.state, p.settings.Name, p.peerAddress()).Run)
 	p.group.add(orderer.Run)
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -11,7 +11,6 @@
 
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/rollout"
-	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 )
 
@@ -35,7 +34,6 @@
 	Loading []string       `json:"loading"` // targets that get no new work
 	Loaded  []loaded       `json:"loaded"`  // targets that have loaded, until their own records say so
 	Retired map[string]int `json:"retired"` // by model: parts of this weight version and older ones are no longer used
-	Named   []roster.Named `json:"named"`   // weight versions with their ages, for instances that start later
 }
 
 type loaded struct {
@@ -175,7 +173,7 @@
 
 // publish tells all instances which targets are out. The lock's revision is a condition, so that only its holder can.
 func (o *Orderer) publish(ctx context.Context, out []string, token uint64) bool {
-	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded, Retired: o.retired, Named: o.opts.State.namedWeights(time.Now())})
+	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded, Retired: o.retired})
 	if err != nil {
 		klog.ErrorS(err, "encode load state")
 		return false
--- a/internal/gateway/own.go
+++ b/internal/gateway/own.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Keys of the metadata store that belong to the system.
 const (
@@ -9,6 +12,9 @@
 	InstancePrefix = ownPrefix + "instances/"
 	// OrdersLock is held by the one instance that gives orders to targets; its revision is the fencing token.
 	OrdersLock = ownPrefix + "locks/orders"
+	// namedPrefix holds for each weight version when it was first seen: its time to be in use everywhere runs from then,
+	// also while all instances are down.
+	namedPrefix = ownPrefix + "named/"
 	// LoadingKey holds which targets load weights, so that they get no new work, and which have loaded.
 	LoadingKey = ownPrefix + "loading"
 )
@@ -19,6 +25,10 @@
 	Domain  string `json:"domain"`
 }
 
+func namedKey(model string, version int) string {
+	return fmt.Sprintf("%s%s/%d", namedPrefix, model, version)
+}
+
 func decodeInstance(raw []byte) (Instance, error) {
 	var in Instance
 	err := json.Unmarshal(raw, &in)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -65,27 +66,27 @@
 	opts    StateOptions
 	current atomic.Pointer[view]
 
-	mu           sync.Mutex // guards the rest
-	facts        *roster.Facts
-	roster       *roster.Roster
-	named        *roster.Weights
-	targets      map[string]*target
-	budgets      map[string]*retry.Budget
-	prefills     map[string]*prefilltime.Estimator // by service; they outlive views
-	instances    map[string]Instance
-	loading      map[string]bool
-	loaded       []loaded
-	retired      map[string]int
-	loadRevision uint64 // of the load state
-	locked       bool   // an instance holds the lock for orders
-	shared       int    // instances that budgets were made for
+	mu        sync.Mutex // guards the rest
+	facts     *roster.Facts
+	roster    *roster.Roster
+	named     *roster.Weights
+	targets   map[string]*target
+	budgets   map[string]*retry.Budget
+	prefills  map[string]*prefilltime.Estimator // by service; they outlive views
+	instances map[string]Instance
+	loading   map[string]bool
+	loaded    []loaded
+	retired   map[string]int
+	namedKeys map[string]bool // versions whose naming is recorded in the store
+	locked    bool            // an instance holds the lock for orders
+	shared    int             // instances that budgets were made for
 }
 
 // NewState returns a state that knows nothing.
 func NewState(o StateOptions) *State {
 	return &State{
 		opts: o, roster: roster.New(o.Roster), named: roster.NewWeights(o.WeightsTime - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
-		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{},
+		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, namedKeys: map[string]bool{},
 	}
 }
 
@@ -125,6 +126,8 @@
 			} else {
 				instances[strings.TrimPrefix(key, InstancePrefix)] = in
 			}
+		case strings.HasPrefix(key, namedPrefix):
+			s.readNamed(key, item, now)
 		case key == LoadingKey:
 			state, err := decodeLoading(item.Value)
 			if err != nil {
@@ -134,12 +137,6 @@
 				loading[id] = true
 			}
 			s.loaded, s.retired = state.Loaded, state.Retired
-			if item.Revision != s.loadRevision {
-				s.loadRevision = item.Revision
-				for _, n := range state.Named {
-					s.named.Saw(n.Model, n.Version, n.AgeAt(now), now)
-				}
-			}
 		}
 	}
 	if !maps.Equal(instances, s.instances) {
@@ -149,11 +146,25 @@
 	_, s.locked = items[OrdersLock]
 }
 
-// namedWeights returns the weight versions seen, with their ages.
-func (s *State) namedWeights(now time.Time) []roster.Named {
+// readNamed takes in when a weight version was first seen by any instance.
+func (s *State) readNamed(key string, item metastore.Item, now time.Time) {
+	if s.namedKeys[key] {
+		return
+	}
+	s.namedKeys[key] = true
+	var n roster.Named
+	if err := json.Unmarshal(item.Value, &n); err != nil {
+		klog.ErrorS(err, "time of a weight version ignored", "key", key)
+		return
+	}
+	s.named.Saw(n.Model, n.Version, n.Age(now), now)
+}
+
+// unrecorded returns the weight versions seen whose naming no instance has recorded yet.
+func (s *State) unrecorded() []roster.Named {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.named.All(now)
+	return slices.DeleteFunc(s.named.All(), func(n roster.Named) bool { return s.namedKeys[namedKey(n.Model, n.Version)] })
 }
 
 // OrdersFree reports whether no instance holds the lock for orders.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -146,8 +146,8 @@
 	restarted := epoch.Add(8 * time.Second)
 	second := NewWeights(10 * time.Second)
 	second.Saw("m", 2, 0, restarted)
-	for _, n := range first.All(epoch.Add(5 * time.Second)) { // written three seconds before
-		second.Saw(n.Model, n.Version, n.AgeAt(restarted), restarted)
+	for _, n := range first.All() {
+		second.Saw(n.Model, n.Version, n.Age(restarted), restarted)
 	}
 	if got := second.Least("m", epoch.Add(10*time.Second)); got != 2 {
 		t.Errorf("least %d at the bound, want 2", got)
--- a/internal/roster/weights.go
+++ b/internal/roster/weights.go
@@ -64,30 +64,24 @@
 	return c
 }
 
-// Named is a version with the time since it was first seen.
+// Named is a version with the time at which it was first seen.
 type Named struct {
-	Model   string        `json:"model"`
-	Version int           `json:"version"`
-	Age     time.Duration `json:"age"` // nanoseconds, when it was written
-	At      int64         `json:"at"`  // time of the writing, Unix milliseconds
+	Model   string `json:"model"`
+	Version int    `json:"version"`
+	At      int64  `json:"at"` // Unix milliseconds
 }
 
-// AgeAt returns the age now: that of the writing and the time since, as far as the time of day can be trusted.
-func (n *Named) AgeAt(now time.Time) time.Duration {
-	const mostSince = 15 * time.Second // a longer span is more likely a jump of the clock than an outage
-	since := time.Duration(now.UnixMilli()-n.At) * time.Millisecond
-	if since < 0 || since > mostSince {
-		since = 0
-	}
-	return n.Age + since
+// Age returns the time since then, by the time of day.
+func (n *Named) Age(now time.Time) time.Duration {
+	return max(time.Duration(now.UnixMilli()-n.At)*time.Millisecond, 0)
 }
 
-// All returns all versions seen, for instances that start later. They are ordered by model and version.
-func (w *Weights) All(now time.Time) []Named {
+// All returns all versions seen. They are ordered by model and version.
+func (w *Weights) All() []Named {
 	var out []Named
 	for model, list := range w.named {
 		for _, n := range list {
-			out = append(out, Named{Model: model, Version: n.version, Age: now.Sub(n.seen), At: now.UnixMilli()})
+			out = append(out, Named{Model: model, Version: n.version, At: n.seen.UnixMilli()})
 		}
 	}
 	slices.SortFunc(out, func(a, b Named) int {
