Instances tell each other how fetches from kept-cache stores went

Each of 23 instances fetches from one store about once in two seconds, so none noticed before it was over: the pace moved by samples. A paced store also got no saves, just when new weights made all parts new.

Change: load messages carry each store's fetches since the last one (count and mean strain); the pace moves by time, not by samples, so that it behaves alike for 5 and for 76 instances. Parts whose store is paced are saved to the next one. Ruled out: stores' readings too old (no store lost), placement by capacity alone (fetches fail at the three slowed stores only).

Tests that failed before: TestManyInstancesNoticeASlowStoreTogether (pattern: one slow store behind many instances), TestPartsOfAPacedStoreGoToTheOthers (pattern: new weights while half of the stores are slow).

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -25,18 +25,19 @@
 	maxDatagram = 1400
 )
 
-// Gossip tells the other instances what this one has sent to which target, and takes in what they tell. Datagrams carry
-// the whole state at a steady rate; a lost one is made good by the next.
+// Gossip tells the other instances what this one has sent to which target and how its fetches from stores went, and takes
+// in what they tell. Datagrams carry the whole state of targets at a steady rate; a lost one is made good by the next.
 type Gossip struct {
 	state   *State
+	keeper  *Keeper
 	address string
 	self    uint64
 	table   *loadshare.Table
 }
 
 // NewGossip returns a gossip on a UDP address.
-func NewGossip(state *State, name, address string) *Gossip {
-	return &Gossip{state: state, address: address, self: xxhash.Sum64String(name), table: loadshare.NewTable(gossipFresh)}
+func NewGossip(state *State, keeper *Keeper, name, address string) *Gossip {
+	return &Gossip{state: state, keeper: keeper, address: address, self: xxhash.Sum64String(name), table: loadshare.NewTable(gossipFresh)}
 }
 
 // Run sends and receives until ctx ends.
@@ -78,17 +79,20 @@
 		if err != nil {
 			return // closed at the end of Run
 		}
-		sender, number, loads, err := loadshare.Parse(buffer[:n])
+		message, err := loadshare.Parse(buffer[:n])
 		if err != nil {
 			klog.V(1).InfoS("load message dropped", "err", err.Error())
 			continue
 		}
-		g.table.Take(sender, number, loads, time.Now())
+		now := time.Now()
+		if g.table.Take(message, now) {
+			g.keeper.fetchedByOthers(message.Fetches, now)
+		}
 	}
 }
 
 func (g *Gossip) send(conn *net.UDPConn, peers []string, number uint64) {
-	message := loadshare.Append(nil, g.self, number, g.own())
+	message := (&loadshare.Message{Sender: g.self, Number: number, Fetches: g.keeper.unsentFetches(), Loads: g.own()}).Append(nil)
 	if len(message) > maxDatagram {
 		// Idle targets are not in it, so only an overload of many targets at once makes it longer. The kernel cuts it up.
 		klog.V(1).InfoS("long load message", "bytes", len(message))
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/catalog"
@@ -14,6 +16,7 @@
 	"github.com/egrethoist/egrethoist/internal/kvcache/holders"
 	"github.com/egrethoist/egrethoist/internal/kvcache/retirement"
 	"github.com/egrethoist/egrethoist/internal/kvcache/storepace"
+	"github.com/egrethoist/egrethoist/internal/loadshare"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 )
 
@@ -34,7 +37,7 @@
 	current func(now time.Time) bool
 
 	clock enginesClock
-	paces sync.Map // *storepace.Pace by store address
+	paces sync.Map // *storepace.Pace by hash of the store's address
 
 	mu       sync.Mutex
 	running  map[string]context.CancelFunc // readers of stores, by name and address
@@ -324,14 +327,42 @@
 	}
 }
 
+// strainUnit is the unit in which instances tell each other the strain of a store.
+const strainUnit = 0.01
+
+// unsentFetches returns how this instance's fetches went since the last call.
+func (k *Keeper) unsentFetches() []loadshare.Fetches {
+	var out []loadshare.Fetches
+	k.paces.Range(func(store, pace any) bool {
+		if s := pace.(*storepace.Pace).Unsent(); s.Count > 0 {
+			out = append(out, loadshare.Fetches{
+				Store: store.(uint64), Count: uint8(min(s.Count, math.MaxUint8)), Strain: uint16(s.Mean / strainUnit),
+			})
+		}
+		return true
+	})
+	return out
+}
+
+// fetchedByOthers takes in how the fetches of another instance went.
+func (k *Keeper) fetchedByOthers(list []loadshare.Fetches, now time.Time) {
+	for _, f := range list {
+		k.paceOf(f.Store, now).AddOthers(storepace.Strains{Count: int(f.Count), Mean: float64(f.Strain) * strainUnit}, now)
+	}
+}
+
 // pacedShare is the share of fetches below which a store is reported as paced.
 const pacedShare = 0.7
 
 // pace returns the pace of the store at the address.
 func (k *Keeper) pace(address string, now time.Time) *storepace.Pace {
-	p, ok := k.paces.Load(address)
+	return k.paceOf(xxhash.Sum64String(address), now)
+}
+
+func (k *Keeper) paceOf(store uint64, now time.Time) *storepace.Pace {
+	p, ok := k.paces.Load(store)
 	if !ok {
-		p, _ = k.paces.LoadOrStore(address, storepace.New(now))
+		p, _ = k.paces.LoadOrStore(store, storepace.New(now))
 	}
 	return p.(*storepace.Pace)
 }
--- a/internal/kvcache/directory/directory.go
+++ b/internal/kvcache/directory/directory.go
@@ -168,7 +168,7 @@
 }
 
 // Save returns the address of the store to which the part should be saved now, and notes that it is. It returns false
-// if a store has or gets the part already, if none has room, or if the one with the best claim does not carry it now.
+// if a store has or gets the part already, or if none with room carries it now.
 func (d *Directory) Save(k Key, tokens int, carries func(address string) bool, now time.Time) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -182,7 +182,7 @@
 		if s, ok := st.saving[k]; ok && now.Before(s.until) {
 			return "", false
 		}
-		if !st.fresh(now) || now.Before(st.settled) || !st.room(tokens, now) {
+		if !st.fresh(now) || now.Before(st.settled) || !st.room(tokens, now) || !carries(st.Address) {
 			continue
 		}
 		// Rendezvous hashing by capacity: all instances choose alike while they see the same stores.
@@ -190,7 +190,7 @@
 			best, weight = st, w
 		}
 	}
-	if best == nil || !carries(best.Address) {
+	if best == nil {
 		return "", false
 	}
 	best.saving[k] = saving{tokens: tokens, until: now.Add(saveTime)}
--- a/internal/kvcache/directory/directory_test.go
+++ b/internal/kvcache/directory/directory_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Pattern: new weights are loaded while half of the stores' links are slow. Everything must be saved anew, so the stores
+// that are not slow take the share of the others.
+func TestPartsOfAPacedStoreGoToTheOthers(t *testing.T) {
+	d := New()
+	d.SetStores([]Store{{Name: "slow", Address: "a", Tokens: 1_000_000}, {Name: "sound", Address: "b", Tokens: 1_000_000}})
+	d.Replace("slow", 1, nil, epoch)
+	d.Replace("sound", 1, nil, epoch)
+	for i := range 100 {
+		address, ok := d.Save(key(i), 100, func(address string) bool { return address != "a" }, epoch)
+		if !ok || address != "b" {
+			t.Fatalf("part %d goes to %q, want the store that carries it", i, address)
+		}
+	}
+}
+
 // Nothing is known of a store that has not been heard of: it may have restarted and hold the part half written.
 func TestStaleViewIsNotUsed(t *testing.T) {
 	d := one(t)
--- a/internal/kvcache/storepace/storepace.go
+++ b/internal/kvcache/storepace/storepace.go
@@ -3,52 +3,104 @@
 package storepace
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// weight is that of a new sample in the moving average of delays.
+	// weight is that of a new sample in the moving average of strains.
 	weight = 0.1
-	// longestDelay caps a sample, so that one lost request does not outweigh many.
-	longestDelay = time.Second
-	// decrease and increase change the share of fetches with each sample.
-	decrease = 0.95
-	increase = 0.02
+	// mostStrain caps a sample, so that one lost request does not outweigh many.
+	mostStrain = 3.0
+	// decrease and increase are the rates per second at which the share of fetches falls while the store is strained, and
+	// grows while it is not: a store's queue fills within a second, and must not fill again at once.
+	decrease = 1.0
+	increase = 0.4
 	// recovery is added to the share each second, so that a store without samples is tried again.
 	recovery = 0.1
+	// longestStep bounds the time that one sample stands for.
+	longestStep = 250 * time.Millisecond
 	// leastShare keeps samples coming.
 	leastShare = 0.05
 )
 
 // Pace is the share of fetches that one store gets. It is safe for concurrent use.
 type Pace struct {
-	mu    sync.Mutex
-	delay float64 // seconds, moving average
-	share float64
-	moved time.Time
+	mu     sync.Mutex
+	strain float64 // moving average
+	share  float64
+	moved  time.Time // last recovery
+	sample time.Time // last sample
+	unsent Strains   // samples of this instance that the others do not know
+}
+
+// Strains is a number of samples with their mean. The strain of a fetch is by how much the request came later than one
+// that did not have to fetch, relative to what is bearable.
+type Strains struct {
+	Count int
+	Mean  float64
 }
 
 // New returns a pace that allows all fetches.
-func New(now time.Time) *Pace { return &Pace{share: 1, moved: now} }
+func New(now time.Time) *Pace { return &Pace{share: 1, moved: now, sample: now} }
 
-// Add takes in by how much a request that fetched came later than one that did not have to, and what is bearable.
+// Add takes in one fetch of this instance.
 func (p *Pace) Add(late, bearable time.Duration, now time.Time) {
+	if bearable <= 0 {
+		return
+	}
+	strain := min(float64(max(late, 0))/float64(bearable), mostStrain)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsent.Mean = (p.unsent.Mean*float64(p.unsent.Count) + strain) / float64(p.unsent.Count+1)
+	p.unsent.Count++
+	p.add(Strains{Count: 1, Mean: strain}, now)
+}
+
+// AddOthers takes in fetches of another instance.
+func (p *Pace) AddOthers(s Strains, now time.Time) {
+	if s.Count <= 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.add(s, now)
+}
+
+// Unsent returns this instance's fetches since the last call.
+func (p *Pace) Unsent() Strains {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.unsent
+	p.unsent = Strains{}
+	return s
+}
+
+// add moves the share by time and not by samples: many instances tell of the same store at once.
+func (p *Pace) add(s Strains, now time.Time) {
 	p.recover(now)
-	sample := min(max(late, 0), longestDelay).Seconds()
-	p.delay += weight * (sample - p.delay)
-	if p.delay > bearable.Seconds() {
-		p.share = max(leastShare, p.share*decrease)
+	keep := math.Pow(1-weight, float64(s.Count))
+	p.strain = keep*p.strain + (1-keep)*min(s.Mean, mostStrain)
+	step := min(max(now.Sub(p.sample), 0), longestStep).Seconds()
+	p.sample = now
+	if p.strain > 1 {
+		p.share = max(leastShare, p.share*math.Exp(-decrease*step))
 	} else {
-		p.share = min(1, p.share+increase)
+		p.share = min(1, p.share+increase*step)
 	}
 }
 
+// recover raises the share for the time in which no sample came.
 func (p *Pace) recover(now time.Time) {
-	p.share = min(1, p.share+recovery*max(now.Sub(p.moved), 0).Seconds())
-	p.moved = now
+	from := p.sample.Add(longestStep)
+	if p.moved.After(from) {
+		from = p.moved
+	}
+	if idle := now.Sub(from); idle > 0 {
+		p.share = min(1, p.share+recovery*idle.Seconds())
+		p.moved = now
+	}
 }
 
 // Allow reports whether a fetch may go to the store; draw is uniform in [0, 1).
--- a/internal/kvcache/storepace/storepace_test.go
+++ b/internal/kvcache/storepace/storepace_test.go
@@ -45,15 +45,70 @@
 	}
 }
 
+// Pattern: one slow store behind many instances, each of which fetches from it once in two seconds. Alone none of them
+// notices before the slowness is over; together they do within two seconds.
+func TestManyInstancesNoticeASlowStoreTogether(t *testing.T) {
+	const instances, window = 24, 2 * time.Second
+	share := func(together bool) float64 {
+		paces := make([]*Pace, instances)
+		for i := range paces {
+			paces[i] = New(epoch)
+		}
+		const tick = 230 * time.Millisecond // between the messages of an instance
+		for at := time.Duration(0); at < window; at += tick {
+			now := epoch.Add(at)
+			for i, p := range paces {
+				if (int(at/tick)+i)%9 == 0 {
+					p.Add(2*bearable, bearable, now)
+				}
+			}
+			for i, p := range paces {
+				s := p.Unsent()
+				for j, other := range paces {
+					if together && i != j {
+						other.AddOthers(s, now.Add(time.Millisecond))
+					}
+				}
+			}
+		}
+		sum := 0.0
+		for _, p := range paces {
+			sum += p.Share()
+		}
+		return sum / instances
+	}
+	if alone := share(false); alone < 0.9 {
+		t.Errorf("share %.2f alone: the load does not show the pattern", alone)
+	}
+	if together := share(true); together > 0.5 {
+		t.Errorf("share %.2f after %v, want half at most", together, window)
+	}
+}
+
+func TestUnsentIsToldOnce(t *testing.T) {
+	p := New(epoch)
+	p.Add(bearable, bearable, epoch)
+	p.Add(3*bearable, bearable, epoch)
+	p.AddOthers(Strains{Count: 5, Mean: 1}, epoch)
+	if s := p.Unsent(); s.Count != 2 || s.Mean != 2 {
+		t.Errorf("%+v, want two samples with a mean of 2", s)
+	}
+	if s := p.Unsent(); s.Count != 0 {
+		t.Errorf("%+v told twice", s)
+	}
+}
+
 func TestRecovers(t *testing.T) {
 	p := New(epoch)
+	now := epoch
 	for range 200 {
-		p.Add(time.Second, bearable, epoch)
+		now = now.Add(50 * time.Millisecond)
+		p.Add(time.Second, bearable, now)
 	}
 	if p.Share() != leastShare {
 		t.Fatalf("share %v, want %v", p.Share(), leastShare)
 	}
-	if !p.Allow(0.9, epoch.Add(10*time.Second)) {
+	if !p.Allow(0.9, now.Add(10*time.Second)) {
 		t.Error("still paced ten seconds later")
 	}
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,5 +1,6 @@
-// Package loadshare puts together what the instances tell each other of the work that they have sent to targets. Each
-// tells all of its own at a steady rate, so a lost message is made good by the next. It has no I/O and no clock.
+// Package loadshare puts together what the instances tell each other of the work that they have sent to targets, and of the
+// kept-cache stores that they fetched from. Each tells all of its own work at a steady rate, so a lost message is made good
+// by the next. It has no I/O and no clock.
 package loadshare
 
 import (
@@ -17,16 +18,44 @@
 	Held    uint32 // tokens of requests that have not ended
 }
 
-const version = 1
+// Fetches are the fetches of one instance from one store since its last message.
+type Fetches struct {
+	Store  uint64 // hash of its address
+	Count  uint8
+	Strain uint16 // mean, in hundredths of what is bearable
+}
+
+// Message is what one instance tells.
+type Message struct {
+	Sender  uint64 // hash of the instance's name
+	Number  uint64 // grows with each message of a process
+	Fetches []Fetches
+	Loads   []Load
+}
+
+const (
+	version = 2
+	// maxStores is the number of stores that one message tells of.
+	maxStores    = 255
+	headerBytes  = 18
+	fetchesBytes = 11
+)
 
 var errMalformed = errors.New("malformed load message")
 
-// Append encodes a message. sender is the hash of the instance's name, number grows with each message of a process.
-func Append(b []byte, sender, number uint64, loads []Load) []byte {
+// Append encodes a message.
+func (m *Message) Append(b []byte) []byte {
+	fetches := m.Fetches[:min(len(m.Fetches), maxStores)]
 	b = append(b, version)
-	b = binary.BigEndian.AppendUint64(b, sender)
-	b = binary.BigEndian.AppendUint64(b, number)
-	for _, l := range loads {
+	b = binary.BigEndian.AppendUint64(b, m.Sender)
+	b = binary.BigEndian.AppendUint64(b, m.Number)
+	b = append(b, uint8(len(fetches)))
+	for _, f := range fetches {
+		b = binary.BigEndian.AppendUint64(b, f.Store)
+		b = append(b, f.Count)
+		b = binary.BigEndian.AppendUint16(b, f.Strain)
+	}
+	for _, l := range m.Loads {
 		b = binary.BigEndian.AppendUint64(b, l.Target)
 		b = append(b, l.Urgency)
 		b = binary.AppendUvarint(b, uint64(l.Pending))
@@ -36,30 +65,38 @@
 }
 
 // Parse decodes a message.
-func Parse(b []byte) (sender, number uint64, loads []Load, err error) {
-	if len(b) < 17 || b[0] != version {
-		return 0, 0, nil, errMalformed
+func Parse(b []byte) (*Message, error) {
+	if len(b) < headerBytes || b[0] != version {
+		return nil, errMalformed
+	}
+	m := &Message{Sender: binary.BigEndian.Uint64(b[1:]), Number: binary.BigEndian.Uint64(b[9:])}
+	stores := int(b[headerBytes-1])
+	b = b[headerBytes:]
+	if len(b) < stores*fetchesBytes {
+		return nil, errMalformed
+	}
+	for range stores {
+		m.Fetches = append(m.Fetches, Fetches{Store: binary.BigEndian.Uint64(b), Count: b[8], Strain: binary.BigEndian.Uint16(b[9:])})
+		b = b[fetchesBytes:]
 	}
-	sender, number = binary.BigEndian.Uint64(b[1:]), binary.BigEndian.Uint64(b[9:])
-	b = b[17:]
 	for len(b) > 0 {
 		if len(b) < 9 {
-			return 0, 0, nil, errMalformed
+			return nil, errMalformed
 		}
 		l := Load{Target: binary.BigEndian.Uint64(b), Urgency: b[8]}
 		pending, n := binary.Uvarint(b[9:])
 		if n <= 0 {
-			return 0, 0, nil, errMalformed
+			return nil, errMalformed
 		}
-		held, m := binary.Uvarint(b[9+n:])
-		if m <= 0 {
-			return 0, 0, nil, errMalformed
+		held, k := binary.Uvarint(b[9+n:])
+		if k <= 0 {
+			return nil, errMalformed
 		}
 		l.Pending, l.Held = uint32(pending), uint32(held)
-		loads = append(loads, l)
-		b = b[9+n+m:]
+		m.Loads = append(m.Loads, l)
+		b = b[9+n+k:]
 	}
-	return sender, number, loads, nil
+	return m, nil
 }
 
 // Table holds the last message of each instance. It is safe for concurrent use.
@@ -80,15 +117,16 @@
 	return &Table{fresh: fresh, peers: map[uint64]*peer{}}
 }
 
-// Take takes in a message. An older one than the last is dropped.
-func (t *Table) Take(sender, number uint64, loads []Load, now time.Time) {
+// Take takes in a message. It returns false if a newer one was taken in before.
+func (t *Table) Take(m *Message, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peers[sender]
-	if p != nil && number <= p.number && now.Sub(p.at) < t.fresh {
-		return
+	p := t.peers[m.Sender]
+	if p != nil && m.Number <= p.number && now.Sub(p.at) < t.fresh {
+		return false
 	}
-	t.peers[sender] = &peer{number: number, at: now, loads: loads}
+	t.peers[m.Sender] = &peer{number: m.Number, at: now, loads: m.Loads}
+	return true
 }
 
 // Sums returns the work of all instances heard of lately, by target, and their number.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -22,23 +22,29 @@
 				Pending: rapid.Uint32().Draw(t, "pending"), Held: rapid.Uint32().Draw(t, "held"),
 			}
 		})).Draw(t, "loads")
-		b := Append(nil, 7, 9, loads)
-		sender, number, got, err := Parse(b)
-		if err != nil || sender != 7 || number != 9 || !slices.Equal(got, loads) {
-			t.Fatalf("%d %d %v %v, want %v", sender, number, got, err, loads)
-		}
-		if len(b) > 17 {
-			cut := rapid.IntRange(1, len(b)-1).Draw(t, "cut")
-			_, _, _, _ = Parse(b[:cut]) // must not panic
+		fetches := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Fetches {
+			return Fetches{
+				Store: rapid.Uint64().Draw(t, "store"), Count: rapid.Uint8().Draw(t, "count"), Strain: rapid.Uint16().Draw(t, "strain"),
+			}
+		})).Draw(t, "fetches")
+		m := Message{Sender: 7, Number: 9, Fetches: fetches, Loads: loads}
+		b := m.Append(nil)
+		got, err := Parse(b)
+		if err != nil || got.Sender != 7 || got.Number != 9 || !slices.Equal(got.Loads, loads) || !slices.Equal(got.Fetches, fetches) {
+			t.Fatalf("%+v %v, want %+v", got, err, m)
 		}
+		cut := rapid.IntRange(1, len(b)-1).Draw(t, "cut")
+		_, _ = Parse(b[:cut]) // must not panic
 	})
 }
 
 func TestTable(t *testing.T) {
 	table := NewTable(time.Second)
-	table.Take(1, 5, []Load{{Target: 9, Pending: 100}}, epoch)
-	table.Take(1, 4, []Load{{Target: 9, Pending: 900}}, epoch) // overtaken on the way
-	table.Take(2, 1, []Load{{Target: 9, Pending: 10}}, epoch)
+	table.Take(&Message{Sender: 1, Number: 5, Loads: []Load{{Target: 9, Pending: 100}}}, epoch)
+	if table.Take(&Message{Sender: 1, Number: 4, Loads: []Load{{Target: 9, Pending: 900}}}, epoch) {
+		t.Error("message taken in that was overtaken on the way")
+	}
+	table.Take(&Message{Sender: 2, Number: 1, Loads: []Load{{Target: 9, Pending: 10}}}, epoch)
 	sums, heard := table.Sums(epoch)
 	total := uint32(0)
 	for _, l := range sums[9] {
@@ -51,7 +57,7 @@
 		t.Errorf("%d instances heard of after a second of silence", heard)
 	}
 	// A process that starts anew counts its messages from the beginning.
-	table.Take(1, 1, nil, epoch.Add(2*time.Second))
+	table.Take(&Message{Sender: 1, Number: 1}, epoch.Add(2*time.Second))
 	if _, heard := table.Sums(epoch.Add(2 * time.Second)); heard != 1 {
 		t.Error("a restarted instance is not heard of")
 	}
