Fault soak: real gateways as processes, faults from outside, promises checked while it runs

cmd/egret-soak starts gateways as separate processes against stand-ins that speak the platform's protocol (platform/standin: metadata store, operator, engines, plain services, kept-cache stores, callers). 37 kinds of fault are drawn by the seed in series that overlap, with calm between them: signals, and loopback proxies that delay, reset, cut one way or silence; the store, targets, kept-cache stores and their clocks misbehave. The ledger judges what callers and targets see; TestLedgerSeesEachBrokenPromise breaks each promise once.

--- /dev/null
+++ b/cmd/egret-soak/main.go
@@ -0,0 +1,82 @@
+// Command egret-soak runs the gateway as real processes under randomized faults and checks the platform's promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/egrethoist/egrethoist/internal/soak"
+)
+
+func main() {
+	o := soak.Options{Length: 45 * time.Second, Program: "target/egret-gateway", Instances: 4, Engines: 6, Plain: 3, Stores: 2, Callers: 24, Dir: os.TempDir()}
+	seeds, parallel := 1, 1
+	flaggy.SetName("egret-soak")
+	flaggy.SetDescription("runs real gateways under randomized faults and checks what callers and targets see")
+	flaggy.UInt64(&o.Seed, "s", "seed", "first seed")
+	flaggy.Int(&seeds, "n", "seeds", "number of seeds, one after the other")
+	flaggy.Int(&parallel, "p", "parallel", "seeds played side by side")
+	flaggy.Duration(&o.Length, "l", "length", "length of a run")
+	flaggy.String(&o.Program, "", "program", "the gateway's binary")
+	flaggy.Int(&o.Instances, "", "instances", "gateway processes")
+	flaggy.Int(&o.Engines, "", "engines", "model engines")
+	flaggy.Int(&o.Plain, "", "plain", "targets of each plain service")
+	flaggy.Int(&o.Callers, "", "callers", "callers")
+	flaggy.String(&o.Dir, "", "dir", "folder for the logs of runs with a broken promise")
+	flaggy.Parse()
+
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	var red atomic.Int64
+	var next atomic.Uint64
+	var all sync.WaitGroup
+	for range parallel {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				i := next.Add(1) - 1
+				if i >= uint64(seeds) {
+					return
+				}
+				if !play(ctx, o, o.Seed+i) {
+					red.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	fmt.Printf("%d seeds, %d with a broken promise\n", seeds, red.Load())
+	if red.Load() > 0 || ctx.Err() != nil {
+		os.Exit(1)
+	}
+}
+
+// play runs one seed and tells what it showed.
+func play(ctx context.Context, o soak.Options, seed uint64) bool {
+	o.Seed = seed
+	var faults []string
+	o.OnFault = func(text string) { faults = append(faults, text) }
+	r, err := soak.Run(ctx, o)
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, broken: %v\n", seed, r.Faults, r.Requests, r.Served, r.Refused, r.Failed, r.Rules)
+	if len(r.Violations) == 0 {
+		return true
+	}
+	for _, text := range faults {
+		fmt.Println("  fault", text)
+	}
+	for _, v := range r.Violations {
+		fmt.Printf("  %6.2fs %s: %s\n", v.At.Seconds(), v.Rule, v.Text)
+	}
+	fmt.Println("  logs:", r.Logs)
+	return false
+}
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egrethoist/egrethoist/platform/standin"
+)
+
+// stage is a ledger with one configuration in force, and one request of each class under way.
+type stage struct {
+	*ledger
+	t *testing.T
+}
+
+func newStage(t *testing.T) *stage {
+	f := &fleet{opts: Options{Instances: 1}}
+	h := newHistory()
+	c := f.firstConfig()
+	h.configs = append(h.configs, version{c, time.Now().Add(-time.Minute)})
+	return &stage{newLedger(newCalm(), h, bounds), t}
+}
+
+func (s *stage) ask(name, id string) *attempt {
+	for i := range classes {
+		if classes[i].name == name {
+			a := &attempt{class: &classes[i], instance: "front-0", sent: time.Now(), call: standin.Call{
+				ID: id, Host: host, Path: classes[i].path, Key: keys[0].key, Output: 3,
+			}}
+			if classes[i].stream {
+				a.call.Model = model
+			}
+			s.begin(a)
+			return a
+		}
+	}
+	s.t.Fatalf("no class %q", name)
+	return nil
+}
+
+// run lets a target run the request as it was sent.
+func (s *stage) run(a *attempt, target string) standin.Run {
+	r := standin.Run{
+		ID: a.call.ID, Target: target, Service: a.class.service, Domain: domains[0], At: time.Now(), Path: a.call.Path, Host: host,
+		Workspace: keys[0].workspace, Model: a.call.Model, Weights: 1,
+	}
+	if a.class.stream {
+		req, err := a.call.Request(s.t.Context(), "http://x")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		r.Usage, r.Prefix = req.Header.Get("Token-Usage"), req.Header.Get("Prompt-Prefix")
+	}
+	return r
+}
+
+func (s *stage) execute(r standin.Run) { s.Arrived(r); s.Ran(r) }
+
+const stamp = "stamp"
+
+func reply(a *attempt, status int) standin.Reply {
+	return standin.Reply{Status: status, ID: a.call.ID, Stamp: stamp, RetryAfter: "0.1"}
+}
+
+// Each case breaks one promise; the ledger must name just that one.
+func TestLedgerSeesEachBrokenPromise(t *testing.T) {
+	past := time.Now().Add(-time.Minute)
+	for _, c := range []struct {
+		rule string
+		play func(s *stage)
+	}{
+		{"", func(s *stage) {
+			a := s.ask("book", "1")
+			s.execute(s.run(a, "t"))
+			s.Answered(standin.Answer{ID: "1", Stamp: stamp, Status: 200, Body: "b"})
+			s.end(a, reply(a, 200), "b", nil)
+		}},
+		{"", func(s *stage) {
+			a := s.ask("plan", "1") // resumable: a second run is allowed
+			s.execute(s.run(a, "t"))
+			s.execute(s.run(a, "u"))
+		}},
+		{"TWICE", func(s *stage) {
+			a := s.ask("check", "1")
+			s.execute(s.run(a, "t"))
+			s.execute(s.run(a, "u"))
+		}},
+		{"REFUSED", func(s *stage) {
+			a := s.ask("book", "1")
+			s.execute(s.run(a, "t"))
+			s.end(a, reply(a, 503), "", nil)
+		}},
+		{"REFUSED", func(s *stage) {
+			a := s.ask("book", "1")
+			s.end(a, reply(a, 429), "", nil)
+			s.execute(s.run(a, "t"))
+		}},
+		{"MIXED", func(s *stage) {
+			a := s.ask("book", "1")
+			s.execute(s.run(a, "t"))
+			s.Answered(standin.Answer{ID: "1", Stamp: stamp, Status: 200, Body: "whole"})
+			s.end(a, reply(a, 200), "who", nil)
+		}},
+		{"MIXED", func(s *stage) {
+			a := s.ask("look", "1")
+			s.execute(s.run(a, "t"))
+			r := reply(a, 200)
+			r.ID = "2"
+			s.end(a, r, "", nil)
+		}},
+		{"ORDER", func(s *stage) {
+			a := s.ask("plan", "1")
+			s.execute(s.run(a, "t"))
+			s.Answered(standin.Answer{ID: "1", Stamp: stamp, Status: 200})
+			s.end(a, reply(a, 200), standin.Event("1", 1)+standin.Event("1", 3), nil)
+		}},
+		{"UNASKED", func(s *stage) { s.Arrived(standin.Run{ID: "9", Target: "t", At: time.Now()}) }},
+		{"UNASKED", func(s *stage) {
+			a := s.ask("book", "1")
+			r := s.run(a, "t")
+			r.Path = "/book/2"
+			s.execute(r)
+		}},
+		{"UNASKED", func(s *stage) {
+			a := s.ask("book", "1")
+			r := s.run(a, "t")
+			r.Workspace = keys[1].workspace
+			s.execute(r)
+		}},
+		{"ROUTE", func(s *stage) {
+			a := s.ask("book", "1")
+			r := s.run(a, "t")
+			r.Service = plainNext
+			s.execute(r)
+		}},
+		{"CONFIG", func(s *stage) {
+			next := s.world.configs[0].config
+			next.Workspaces = nil
+			s.world.configs = append(s.world.configs, version{next, time.Now().Add(-2 * bounds.ConfigApply)})
+			a := s.ask("book", "1")
+			s.execute(s.run(a, "t"))
+		}},
+		{"DRAIN", func(s *stage) {
+			s.world.leaving["t"] = past
+			s.execute(s.run(s.ask("book", "1"), "t"))
+		}},
+		{"EVAC", func(s *stage) {
+			s.world.evacuated[domains[0]] = past
+			s.execute(s.run(s.ask("book", "1"), "t"))
+		}},
+		{"", func(s *stage) { // the instance could not know
+			s.calm.note("front-0", past, time.Now())
+			s.world.evacuated[domains[0]] = past
+			s.execute(s.run(s.ask("book", "1"), "t"))
+		}},
+		{"VERSION", func(s *stage) {
+			s.world.weights, s.world.named = 2, past
+			s.execute(s.run(s.ask("plan", "1"), "t"))
+		}},
+		{"ONE", func(s *stage) {
+			s.Ordered(standin.Order{Target: "t", Holder: "a", Token: 5, At: time.Now()})
+			s.Ordered(standin.Order{Target: "t", Holder: "b", Token: 4, At: time.Now()})
+		}},
+		{"LOST", func(s *stage) {
+			a := s.ask("book", "1")
+			s.world.stopping("front-0")
+			s.execute(s.run(a, "t"))
+			s.end(a, standin.Reply{}, "", errTest)
+		}},
+		{"DENIED", func(s *stage) {
+			a := s.ask("book", "1")
+			s.end(a, standin.Reply{Status: 401}, "", nil)
+		}},
+		{"RETRY", func(s *stage) {
+			a := s.ask("book", "1")
+			s.end(a, standin.Reply{Status: 503}, "", nil)
+		}},
+		{"BUDGET", func(s *stage) {
+			for i := range 100 {
+				a := s.ask("look", string(rune('a'+i)))
+				s.execute(s.run(a, "t"))
+				s.execute(s.run(a, "u"))
+			}
+			s.judgeRetries()
+		}},
+		{"FAILBACK", func(s *stage) {
+			for i := range 50 {
+				r := s.run(s.ask("plan", string(rune('a'+i))), "t")
+				r.Cold = true
+				s.execute(r)
+			}
+			s.judgeCold()
+		}},
+	} {
+		s := newStage(t)
+		c.play(s)
+		if c.rule == "" && len(s.rules) > 0 || c.rule != "" && (s.rules[c.rule] == 0 || len(s.rules) != 1) {
+			t.Errorf("want %q, got %v", c.rule, s.violations)
+		}
+	}
+}
+
+type testError string
+
+func (e testError) Error() string { return string(e) }
+
+const errTest = testError("connection closed")
+
+// The same seed plays the same faults, and every kind comes up.
+func TestPlanIsSeeded(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := range uint64(50) {
+		one, two := plan(seed, 45*time.Second), plan(seed, 45*time.Second)
+		if len(one) == 0 || len(one) != len(two) {
+			t.Fatalf("seed %d: %d and %d faults", seed, len(one), len(two))
+		}
+		for i, f := range one {
+			if f != two[i] {
+				t.Fatalf("seed %d: fault %d differs", seed, i)
+			}
+			if f.at > 45*time.Second-calmTime {
+				t.Errorf("seed %d: %v in the calm before the end", seed, f)
+			}
+			seen[f.kind] = true
+		}
+	}
+	if len(seen) != len(kinds) {
+		t.Errorf("%d of %d kinds came up", len(seen), len(kinds))
+	}
+}
