--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -55,12 +55,14 @@
 	return true
 }
 
-// allQuiet reports whether nothing at all was disturbed between two times.
+// allQuiet reports whether nothing but the links of callers was disturbed between two times.
 func (c *calm) allQuiet(from, to time.Time) bool {
 	c.mu.Lock()
 	parts := make([]string, 0, len(c.spans))
 	for part := range c.spans {
-		parts = append(parts, part)
+		if part != frontLinks {
+			parts = append(parts, part)
+		}
 	}
 	c.mu.Unlock()
 	return c.quiet(from, to, parts...)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,6 +48,7 @@
 	{"target leaves", 4, (*fleet).replaceTarget},
 	{"address used by another service", 2, (*fleet).reuseAddress},
 	{"target misbehaves", 5, (*fleet).moodTarget},
+	{"service misbehaves", 2, (*fleet).moodService},
 	{"target cold again", 2, (*fleet).chillTarget},
 	{"target link slow", 1, (*fleet).delayTarget},
 	{"target connections reset", 2, (*fleet).resetTarget},
@@ -322,6 +323,27 @@
 	})
 }
 
+// moodService makes all targets of a service fail at once: only the retry budget bounds what that causes.
+func (f *fleet) moodService(ctx context.Context, fl fault) {
+	service := []string{plain, plainNext, engines}[fl.pick%3]
+	var moody []*standin.Target
+	f.mu.Lock()
+	for _, p := range f.targets {
+		if p.target != nil && p.service == service {
+			moody = append(moody, p.target)
+		}
+	}
+	f.mu.Unlock()
+	for _, t := range moody {
+		defer f.calm.disturb(t.ID())()
+		t.SetMood(standin.Mood{Fail: 0.5 + fl.share/2})
+	}
+	_ = sleepFor(ctx, fl.length) // they recover either way
+	for _, t := range moody {
+		t.SetMood(standin.Mood{})
+	}
+}
+
 func (f *fleet) chillTarget(_ context.Context, fl fault) {
 	f.withTarget(fl, engines, func(p *place) { p.target.Chill(fl.length) })
 }
@@ -441,10 +463,11 @@
 }
 
 func (f *fleet) evacuateDomain(ctx context.Context, fl fault) {
+	const beyond = 3 * time.Second // in which the promise can be seen broken
 	domain := domains[fl.pick%len(domains)]
 	f.operator.Evacuate(domain, true)
 	f.world.evacuate(domain, true)
-	_ = sleepFor(ctx, fl.length+bounds.Evacuate) // it is taken back either way
+	_ = sleepFor(ctx, fl.length+bounds.Evacuate+beyond) // it is taken back either way
 	f.world.evacuate(domain, false)
 	f.operator.Evacuate(domain, false)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -31,8 +31,8 @@
 var keys = []struct{ workspace, key string }{{"open", "key-open"}, {"other", "key-other"}, {"walled", "key-walled"}, {"guest", "key-guest"}}
 
 var bounds = standin.Bounds{
-	Drain: 2 * time.Second, Grace: 6 * time.Second, ConfigApply: 2 * time.Second, Evacuate: 4 * time.Second, Lease: 2 * time.Second,
-	Weights: 8 * time.Second, Contact: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
+	Drain: 2 * time.Second, Grace: 6 * time.Second, ConfigApply: 2 * time.Second, Evacuate: 3 * time.Second, Lease: 2 * time.Second,
+	Weights: 7 * time.Second, Contact: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 20, RetryWindow: 10 * time.Second,
 	ColdOver: 1.5, ColdSlack: 5,
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,13 +94,14 @@
 	f.ledger.judgeRetries()
 	f.ledger.judgeCold()
 	newest, named := f.world.newestWeights()
-	late := time.Since(named) > bounds.Weights && f.calm.allQuiet(named.Add(bounds.Contact), time.Now().Add(-time.Second))
+	since := time.Now().Add(-bounds.Weights)
+	late := named.Before(since) && f.calm.allQuiet(since, time.Now())
 	for _, p := range f.targets {
 		if p.service != engines || p.target == nil {
 			continue
 		}
 		if w := p.target.Weights(); w < newest && late {
-			f.ledger.Broken("VERSION", "%s still runs weights %d at the end, %v after %d was named", p.target.ID(), w, time.Since(named), newest)
+			f.ledger.Broken("VERSION", "%s still runs weights %d at the end, %v of calm after %d was named", p.target.ID(), w, bounds.Weights, newest)
 		}
 	}
 	for _, in := range f.instances {
