--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -68,6 +68,13 @@
 	return c.quiet(from, to, parts...)
 }
 
+// count returns how often a part was disturbed.
+func (c *calm) count(part string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.spans[part])
+}
+
 const (
 	stallTick = 20 * time.Millisecond
 	// stallLimit is by how much a timer may be late before times measured around it prove nothing.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,7 +48,7 @@
 	{"target leaves", 4, (*fleet).replaceTarget},
 	{"address used by another service", 2, (*fleet).reuseAddress},
 	{"target misbehaves", 5, (*fleet).moodTarget},
-	{"service misbehaves", 2, (*fleet).moodService},
+	{"service misbehaves", 4, (*fleet).moodService},
 	{"target cold again", 2, (*fleet).chillTarget},
 	{"target link slow", 1, (*fleet).delayTarget},
 	{"target connections reset", 2, (*fleet).resetTarget},
@@ -325,6 +325,7 @@
 
 // moodService makes all targets of a service fail at once: only the retry budget bounds what that causes.
 func (f *fleet) moodService(ctx context.Context, fl fault) {
+	const times = 3 // as long as other faults, so that a missing budget shows
 	service := []string{plain, plainNext, engines}[fl.pick%3]
 	var moody []*standin.Target
 	f.mu.Lock()
@@ -336,9 +337,9 @@
 	f.mu.Unlock()
 	for _, t := range moody {
 		defer f.calm.disturb(t.ID())()
-		t.SetMood(standin.Mood{Fail: 0.5 + fl.share/2})
+		t.SetMood(standin.Mood{Fail: 0.5 + fl.share/2, Truncate: fl.share / 2})
 	}
-	_ = sleepFor(ctx, fl.length) // they recover either way
+	_ = sleepFor(ctx, times*fl.length) // they recover either way
 	for _, t := range moody {
 		t.SetMood(standin.Mood{})
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,7 @@
 	Served     int
 	Refused    int
 	Failed     int
+	Stalls     int // times in which this machine was too busy to keep time
 	Violations []violation
 	Rules      map[string]int // violations by rule
 	Logs       string         // folder with the instances' logs, empty if they were removed
@@ -208,7 +209,7 @@
 func (l *ledger) report(seed uint64, faults int) *Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &Report{Seed: seed, Faults: faults, Violations: l.violations, Rules: l.rules}
+	r := &Report{Seed: seed, Faults: faults, Violations: l.violations, Rules: l.rules, Stalls: l.calm.count(everywhere)}
 	for _, a := range l.attempts {
 		if a.left {
 			continue
