Instances that the store turns away keep using kept-cache stores by what their peers have just heard

Contact was also kept by the time of day, so that a step back made a stale view look fresh. Change: a peer's copy tells its age and confirms the state; it comes without items if the revision is known already. Age runs on the clock that counts suspension; the return of the store is kept with its monotonic reading. Test that failed before: TestPeersConfirmTheState (pattern: the store turns a third of the instances away).

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -96,13 +96,19 @@
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: p.store, Prefix: "", OnChange: p.state.OnChange, FromPeer: p.copyFromPeer})
 	p.engines = platform.NewEngines()
-	p.keeper = gateway.NewKeeper(p.state, p.engines, func(now time.Time) bool { return now.Sub(p.mirror.Contact()) < gateway.FreshMetadata })
+	p.keeper = gateway.NewKeeper(p.state, p.engines, p.isCurrent)
 	p.gateway = gateway.New(gateway.Options{
 		State: p.state, Protocol: platform.Protocol{}, Metrics: scope, Kept: p.keeper,
 	})
 	return p, nil
 }
 
+// isCurrent reports whether the view of the metadata store is fresh enough to use kept-cache stores by.
+func (p *process) isCurrent() bool {
+	age, known := p.mirror.Age()
+	return known && age < gateway.FreshMetadata
+}
+
 // runGroup is a run.Group whose parts end with one context.
 type runGroup struct {
 	run.Group
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -34,7 +34,7 @@
 	holders   *holders.Index
 	// current reports whether the metadata is fresh enough for a fetch: the owner of orders frees parts once every
 	// instance with a fresh view has stopped fetching them.
-	current func(now time.Time) bool
+	current func() bool
 
 	clock enginesClock
 	paces sync.Map // *storepace.Pace by hash of the store's address
@@ -46,7 +46,7 @@
 }
 
 // NewKeeper returns a keeper. current reports whether the view of the metadata store is fresh.
-func NewKeeper(state *State, engines Engines, current func(now time.Time) bool) *Keeper {
+func NewKeeper(state *State, engines Engines, current func() bool) *Keeper {
 	return &Keeper{
 		state: state, engines: engines, directory: directory.New(), holders: holders.New(), current: current,
 		running: map[string]context.CancelFunc{}, watching: map[string]context.CancelFunc{},
@@ -297,7 +297,7 @@
 // Held implements Kept. Parts after the first missing one are of no use.
 func (k *Keeper) Held(scope Scope, parts []Part, draw float64, now time.Time) []string {
 	from := make([]string, len(parts))
-	if !k.current(now) {
+	if !k.current() {
 		return from
 	}
 	text, retired := scope.String(), k.retired(scope.Model)
@@ -370,7 +370,7 @@
 // Save implements Kept.
 func (k *Keeper) Save(scope Scope, parts []Part, now time.Time) []string {
 	to := make([]string, len(parts))
-	if !k.current(now) {
+	if !k.current() {
 		return to
 	}
 	text, retired := scope.String(), k.retired(scope.Model)
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 )
 
@@ -29,7 +30,8 @@
 // Copy is the state of a mirror, for peers that the store turns away.
 type Copy struct {
 	AsOf  uint64
-	Items []Item
+	Age   time.Duration // since the store confirmed the state
+	Items []Item        // empty for a peer that has the revision already
 }
 
 // MirrorOptions configure a Mirror.
@@ -38,8 +40,11 @@
 	Prefix string
 	// OnChange is called from Run after each change, and about once a watch without one. It must not keep items.
 	OnChange func(items map[string]Item)
-	// FromPeer asks another instance for its copy while the store is out of reach; nil asks none.
-	FromPeer func(ctx context.Context) (Copy, error)
+	// FromPeer asks another instance for its copy while the store is out of reach, if it is newer than a revision; nil asks
+	// none.
+	FromPeer func(ctx context.Context, after uint64) (Copy, error)
+	// Clock also counts the time for which the machine is suspended; nil: bootclock.Now.
+	Clock func() time.Duration
 }
 
 // Mirror follows all keys under a prefix.
@@ -48,27 +53,50 @@
 	items    map[string]Item
 	asOf     uint64
 	copied   atomic.Pointer[Copy]
-	contact  atomic.Int64 // unix nanoseconds of the last answer
-	returned atomic.Int64 // unix nanoseconds at which the store was reached again
+	current  atomic.Int64 // clock at which the state was last known to be that of the store; zero: never
+	returned atomic.Pointer[time.Time]
 }
 
 // NewMirror returns a mirror that knows nothing yet.
-func NewMirror(o MirrorOptions) *Mirror { return &Mirror{opts: o, items: map[string]Item{}} }
+func NewMirror(o MirrorOptions) *Mirror {
+	if o.Clock == nil {
+		o.Clock = bootclock.Now
+	}
+	return &Mirror{opts: o, items: map[string]Item{}}
+}
 
-// Copy returns the state for peers, and when the store last answered.
-func (m *Mirror) Copy() (*Copy, time.Time) { return m.copied.Load(), m.Contact() }
+// Copy returns the state for a peer that has one revision already; false if there is none yet.
+func (m *Mirror) Copy(after uint64) (Copy, bool) {
+	c := m.copied.Load()
+	age, known := m.Age()
+	if c == nil || !known {
+		return Copy{}, false
+	}
+	out := Copy{AsOf: c.AsOf, Age: age}
+	if c.AsOf > after {
+		out.Items = c.Items
+	}
+	return out, true
+}
 
-// Contact returns when the store last answered; zero before the first answer.
-func (m *Mirror) Contact() time.Time { return stamp(m.contact.Load()) }
+// Age returns the time since the state was known to be that of the store, from its answer or from a peer that had one;
+// false before the first. Jumps of the time of day do not change it.
+func (m *Mirror) Age() (time.Duration, bool) {
+	at := m.current.Load()
+	return m.opts.Clock() - time.Duration(at), at != 0
+}
 
-// Returned returns when the store was reached again after an outage; zero if there was none.
-func (m *Mirror) Returned() time.Time { return stamp(m.returned.Load()) }
+// confirm notes that the state was that of the store at a time of the clock.
+func (m *Mirror) confirm(at time.Duration) {
+	m.current.Store(max(m.current.Load(), int64(at)))
+}
 
-func stamp(ns int64) time.Time {
-	if ns == 0 {
-		return time.Time{}
+// Returned returns when the store was reached again after an outage; zero if there was none.
+func (m *Mirror) Returned() time.Time {
+	if at := m.returned.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, ns)
+	return time.Time{}
 }
 
 // Run follows the store until ctx ends.
@@ -92,10 +120,10 @@
 		if err == nil {
 			if failures > 0 {
 				klog.InfoS("metadata store reached again", "revision", m.asOf, "failures", failures, "outage", now.Sub(lostAt))
-				m.returned.Store(now.UnixNano())
+				m.returned.Store(&now)
 				failures = 0
 			}
-			m.contact.Store(now.UnixNano())
+			m.confirm(m.opts.Clock())
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx itself
 			continue
 		}
@@ -170,12 +198,13 @@
 	m.opts.OnChange(m.items)
 }
 
-// askPeer takes over the copy of another instance if that is newer.
+// askPeer takes over the copy of another instance if that is newer. An older one still confirms the own state.
 func (m *Mirror) askPeer(ctx context.Context, outage time.Duration) {
 	if m.opts.FromPeer == nil || outage < peerAfter {
 		return
 	}
-	c, err := m.opts.FromPeer(ctx)
+	asked := m.opts.Clock()
+	c, err := m.opts.FromPeer(ctx, m.asOf)
 	if err != nil {
 		klog.V(1).InfoS("no copy of the metadata store from a peer", "err", err.Error())
 		return
@@ -184,4 +213,5 @@
 		klog.InfoS("state of the metadata store taken from a peer", "revision", c.AsOf, "before", m.asOf)
 		m.replace(c.Items, c.AsOf)
 	}
+	m.confirm(asked - c.Age)
 }
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -25,6 +25,7 @@
 		}
 		last.Store(&values)
 	}
+	o.Clock = func() time.Duration { return time.Duration(time.Now().UnixNano()) } // the bubble's
 	m := metastore.NewMirror(o)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -98,6 +99,43 @@
 	})
 }
 
+// Pattern: the store turns a third of the instances away for seconds. What their peers have just heard from the store is as
+// good as an answer of its own, also if it is nothing new: otherwise these instances use no kept-cache store meanwhile, and
+// every prompt that comes to them is read again.
+func TestPeersConfirmTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("a", []byte("1"))
+		const age = 400 * time.Millisecond
+		var down atomic.Bool
+		m, get := follow(t, metastore.MirrorOptions{
+			Store: store, FromPeer: func(_ context.Context, after uint64) (metastore.Copy, error) {
+				if down.Load() {
+					return metastore.Copy{}, metastore.ErrUnavailable
+				}
+				return metastore.Copy{AsOf: after, Age: age}, nil
+			},
+		})
+		if _, known := m.Age(); known {
+			t.Error("an age before the first answer")
+		}
+		get("a")
+		store.SetFault(func(string) error { return metastore.ErrUnavailable })
+		time.Sleep(5 * time.Second)
+		if got, _ := m.Age(); got < age || got > 1500*time.Millisecond {
+			t.Errorf("age %v while peers confirm the state", got)
+		}
+		if get("a") != "1" {
+			t.Error("state lost")
+		}
+		down.Store(true)
+		time.Sleep(5 * time.Second)
+		if got, _ := m.Age(); got < 4*time.Second {
+			t.Errorf("age %v, though nobody has heard of the store for five seconds", got)
+		}
+	})
+}
+
 // The store turns this instance away and serves others: their copy is taken over, and never an older one.
 func TestMirrorTakesCopyOfPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -106,7 +144,7 @@
 		var peer atomic.Pointer[metastore.Copy]
 		peer.Store(&metastore.Copy{AsOf: 100, Items: []metastore.Item{{Key: "a", Value: []byte("2"), Revision: 99}}})
 		_, get := follow(t, metastore.MirrorOptions{
-			Store: store, FromPeer: func(context.Context) (metastore.Copy, error) { return *peer.Load(), nil },
+			Store: store, FromPeer: func(context.Context, uint64) (metastore.Copy, error) { return *peer.Load(), nil },
 		})
 		get("a")
 		store.SetFault(func(string) error { return metastore.ErrUnavailable })
