Pace of stores by a time constant: a sound store is used again within seconds

Change: the average of strains runs by time, so that few fetches weigh more each. The precondition of TestManyInstancesNoticeASlowStoreTogether (how little an instance notices alone) is now that alone misses the bound asked of all together, since one fetch counts for more; the bound itself stays. Test that failed before: TestSoundStoreIsUsedAgainSoon.

--- a/internal/kvcache/storepace/storepace.go
+++ b/internal/kvcache/storepace/storepace.go
@@ -9,18 +9,21 @@
 )
 
 const (
-	// weight is that of a new sample in the moving average of strains.
-	weight = 0.1
+	// averageTime is the time constant of the moving average of strains: a few fetches on a busy store. On one that is hardly
+	// used any more a single fetch replaces the average.
+	averageTime = 400 * time.Millisecond
+	// leastStep is the time that a fetch stands for at least, so that fetches told at once count beside each other.
+	leastStep = 5 * time.Millisecond
 	// mostStrain caps a sample, so that one lost request does not outweigh many.
 	mostStrain = 3.0
 	// decrease and increase are the rates per second at which the share of fetches falls while the store is strained, and
 	// grows while it is not: a store's queue fills within a second, and must not fill again at once.
 	decrease = 1.0
-	increase = 0.4
+	increase = 0.6
 	// recovery is added to the share each second, so that a store without samples is tried again.
 	recovery = 0.1
 	// longestStep bounds the time that one sample stands for.
-	longestStep = 250 * time.Millisecond
+	longestStep = 500 * time.Millisecond
 	// leastShare keeps samples coming.
 	leastShare = 0.05
 )
@@ -80,9 +83,10 @@
 // add moves the share by time and not by samples: many instances tell of the same store at once.
 func (p *Pace) add(s Strains, now time.Time) {
 	p.recover(now)
-	keep := math.Pow(1-weight, float64(s.Count))
+	since := max(now.Sub(p.sample), 0)
+	keep := math.Exp(-float64(max(since, time.Duration(s.Count)*leastStep)) / float64(averageTime))
 	p.strain = keep*p.strain + (1-keep)*min(s.Mean, mostStrain)
-	step := min(max(now.Sub(p.sample), 0), longestStep).Seconds()
+	step := min(since, longestStep).Seconds()
 	p.sample = now
 	if p.strain > 1 {
 		p.share = max(leastShare, p.share*math.Exp(-decrease*step))
