--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -73,6 +73,7 @@
 type Engine struct {
 	Slots       int
 	CacheTokens int // KV cache memory of a target
+	TokenBytes  int // of KV cache for each token; zero if unknown
 	MaxReaders  int // readings of its changes that a target holds at once
 	Models      []string
 }
--- a/internal/gateway/prefix.go
+++ b/internal/gateway/prefix.go
@@ -5,13 +5,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/egrethoist/egrethoist/internal/kvcache/transfertime"
 	"github.com/egrethoist/egrethoist/internal/mix64"
 	"github.com/egrethoist/egrethoist/internal/routing"
 )
 
 const (
-	// fetchTime stands for the transfer of a prompt's parts between targets, whose links carry them in some ten
-	// milliseconds, and for its price: work moves only if the holders are clearly slower.
+	// fetchTime stands for the start of a transfer of a prompt's parts and for its price: work moves only if the holders
+	// are clearly slower. Between targets, whose links are fast, it stands for all of it.
 	fetchTime = 40 * time.Millisecond
 )
 
@@ -32,6 +33,7 @@
 type prompt struct {
 	shared   []Part // the parts shared with other requests
 	tokens   int    // of the shared parts
+	request  *request
 	versions []scopeState
 	holdings []routing.Holding
 	byTarget map[string]*scopeState
@@ -50,7 +52,7 @@
 
 // newPrompt looks up the shared parts: all but the last, which belongs to the request alone.
 func (rq *request) newPrompt(now time.Time) *prompt {
-	p := &prompt{byTarget: map[string]*scopeState{}}
+	p := &prompt{request: rq, byTarget: map[string]*scopeState{}}
 	if len(rq.call.Parts) < 2 {
 		return p
 	}
@@ -118,13 +120,27 @@
 	case st == nil:
 		return routing.Fetch{}
 	case st.whole:
-		return routing.Fetch{Tokens: p.tokens, Transfer: fetchTime}
+		return routing.Fetch{Tokens: p.tokens, Transfer: fetchTime + p.transfer(st, target)}
 	case st.holder != nil && st.holder.id != target:
 		return routing.Fetch{Tokens: st.held, Transfer: fetchTime}
 	}
 	return routing.Fetch{}
 }
 
+// transfer returns how long the shared parts are on their way from their stores to a target.
+func (p *prompt) transfer(st *scopeState, target string) time.Duration {
+	t, regions := p.request.service.targets[target], p.request.gateway.opts.State.opts.Regions
+	if t == nil {
+		return 0
+	}
+	to := transfertime.Place{Domain: t.domain, Region: regions[t.domain]}
+	sum := time.Duration(0)
+	for i, part := range p.shared {
+		sum += p.request.view.links[st.stored[i]].Of(part.Tokens*p.request.service.Engine.TokenBytes, to)
+	}
+	return sum
+}
+
 // holds reports whether the target is known to hold the shared parts.
 func (p *prompt) holds(target string) bool {
 	for _, h := range p.holdings {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,6 +16,7 @@
 	"github.com/egrethoist/egrethoist/internal/coldshare"
 	"github.com/egrethoist/egrethoist/internal/kvcache/prefilltime"
 	"github.com/egrethoist/egrethoist/internal/kvcache/retirement"
+	"github.com/egrethoist/egrethoist/internal/kvcache/transfertime"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/retry"
 	"github.com/egrethoist/egrethoist/internal/roster"
@@ -31,6 +32,7 @@
 	named     *roster.Weights
 	retired   map[string]retirement.Shares // by model: cached parts that are no longer moved
 	instances int
+	links     map[string]transfertime.Link // of kept-cache stores, by address
 }
 
 // service is one service of a view.
@@ -265,6 +267,7 @@
 		s.named.Saw(model, version, 0, now)
 	}
 	v.named, v.retired = s.named.Clone(), s.retired
+	v.links = s.storeLinks(v.catalog)
 	hashes := s.instanceHashes()
 	usable := map[string][]*target{}
 	for _, t := range s.roster.Usable() {
@@ -280,6 +283,19 @@
 	s.current.Store(v)
 }
 
+// storeLinks returns the links of the declared kept-cache stores.
+func (s *State) storeLinks(c *catalog.Catalog) map[string]transfertime.Link {
+	const bytesPerMegabit = 1e6 / 8
+	links := make(map[string]transfertime.Link, len(c.Stores))
+	for _, store := range c.Stores {
+		links[store.Address] = transfertime.Link{
+			Place:          transfertime.Place{Domain: store.FailureDomain, Region: s.opts.Regions[store.FailureDomain]},
+			BytesPerSecond: store.LinkMbps * bytesPerMegabit,
+		}
+	}
+	return links
+}
+
 // matchTargets keeps one target for each incarnation.
 func (s *State) matchTargets() {
 	seen := map[string]bool{}
