--- a/cmd/egret-soak/main.go
+++ b/cmd/egret-soak/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -32,7 +33,7 @@
 	flaggy.String(&o.Dir, "", "dir", "folder for the logs of runs with a broken promise")
 	flaggy.Parse()
 
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	var red atomic.Int64
 	var next atomic.Uint64
