A retirement that could not be published is published later

Change: what was published last is compared with what is to be. One sleep and one stand-in for records in the new tests and stand-ins; the soak's tests build runs through platform/standin.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -45,10 +45,10 @@
 	Version int    `json:"version"`
 }
 
-// published is a retirement with the time at which it was published.
-type published struct {
+// publishedRetirement is what was retired by a publication.
+type publishedRetirement struct {
 	at      time.Time
-	retired map[string]retirement.Shares
+	retired map[string]retirement.Shares // by model
 }
 
 // OrdererOptions configure an Orderer.
@@ -68,7 +68,7 @@
 	reports     map[string]TargetReport      // of targets that are out, by ID
 	published   map[string]time.Time         // targets that are out, by ID, with the time from which all instances know it
 	retired     map[string]retirement.Shares // by model
-	freeable    []published                  // retirements that instances may not all know yet, oldest first
+	retirements []publishedRetirement        // oldest first; the first is the last one that all instances may be taken to know
 	publishedAt time.Time
 	loaded      []loaded
 	freed       time.Time // last look for parts to free
@@ -99,13 +99,13 @@
 func (o *Orderer) begin() {
 	o.plans, o.reports = map[string]*rollout.Plan{}, map[string]TargetReport{}
 	o.published, o.loaded, o.freed = map[string]time.Time{}, nil, time.Time{}
-	o.retired, o.freeable = o.opts.State.publishedRetirement(), nil
+	o.retired, o.retirements = o.opts.State.publishedRetirement(), nil
 	o.noteRetirement(time.Now())
 }
 
 // noteRetirement remembers when the present retirement was published.
 func (o *Orderer) noteRetirement(now time.Time) {
-	o.freeable = append(o.freeable, published{at: now, retired: maps.Clone(o.retired)})
+	o.retirements = append(o.retirements, publishedRetirement{at: now, retired: maps.Clone(o.retired)})
 }
 
 // job is a target with what an order to it needs.
@@ -119,7 +119,6 @@
 func (o *Orderer) step(ctx context.Context, token uint64) {
 	now := time.Now()
 	var out []string
-	changed := false
 	orders := map[string]job{}
 	for _, g := range o.opts.State.engineGroups() {
 		key := g.service + "/" + g.model
@@ -130,14 +129,14 @@
 		step := o.plans[key].Next(observed, g.newest, now)
 		out = append(out, step.Out...)
 		if !now.Before(o.nextPublish()) && (len(step.Out) > 0 || now.Sub(o.freed) >= freePeriod) {
-			changed = o.retire(g, observed, step.Out) || changed
+			o.retire(g, observed, step.Out)
 		}
 		for _, id := range step.Order {
 			orders[id] = job{target: g.targets[id], born: g.born[id], model: g.model, newest: g.newest}
 		}
 	}
 	slices.Sort(out)
-	if (changed || !o.isPublished(out)) && !now.Before(o.nextPublish()) && !o.publish(ctx, out, token) {
+	if !o.isPublished(out) && !now.Before(o.nextPublish()) && !o.publish(ctx, out, token) {
 		return
 	}
 	o.free(ctx, now)
@@ -149,8 +148,8 @@
 	}
 }
 
-// retire adds the parts that give way to the newest weights. It reports whether there were any.
-func (o *Orderer) retire(g engineGroup, observed []rollout.Target, out []string) bool {
+// retire adds the parts that give way to the newest weights.
+func (o *Orderer) retire(g engineGroup, observed []rollout.Target, out []string) {
 	fleet := retirement.Fleet{Newest: g.newest, Targets: len(observed), Serving: map[int]int{}}
 	for _, t := range observed {
 		if !slices.Contains(out, t.ID) {
@@ -159,17 +158,14 @@
 	}
 	fleet.Capacity, fleet.Used = o.opts.Keeper.usage(g.model)
 	next := o.retired[g.model].Grow(retirement.Plan(fleet))
-	if next.Equal(o.retired[g.model]) {
-		return false
-	}
 	o.retired = maps.Clone(o.retired)
 	o.retired[g.model] = next
-	return true
 }
 
-// isPublished reports whether all instances were told of exactly these targets.
+// isPublished reports whether all instances were told of exactly these targets and of the present retirement.
 func (o *Orderer) isPublished(out []string) bool {
-	if len(out) != len(o.published) {
+	last := o.retirements[len(o.retirements)-1]
+	if len(out) != len(o.published) || !maps.EqualFunc(o.retired, last.retired, retirement.Shares.Equal) {
 		return false
 	}
 	for _, id := range out {
@@ -250,13 +246,13 @@
 		return
 	}
 	o.freed = now
-	for len(o.freeable) > 1 && now.Sub(o.freeable[1].at) >= freeAfter {
-		o.freeable = o.freeable[1:] // the next one holds all of it
+	for len(o.retirements) > 1 && now.Sub(o.retirements[1].at) >= freeAfter {
+		o.retirements = o.retirements[1:] // the next one holds all of it
 	}
-	if len(o.freeable) == 0 || now.Sub(o.freeable[0].at) < freeAfter {
+	if now.Sub(o.retirements[0].at) < freeAfter {
 		return
 	}
-	for model, shares := range o.freeable[0].retired {
+	for model, shares := range o.retirements[0].retired {
 		o.opts.Keeper.free(ctx, model, shares)
 	}
 }
--- a/internal/gateway/state_bench_test.go
+++ b/internal/gateway/state_bench_test.go
@@ -10,13 +10,9 @@
 	"github.com/egrethoist/egrethoist/internal/roster"
 )
 
-// largeRecords is a fleet of 3,000 targets that 300 instances serve.
-type largeRecords struct{ facts roster.Facts }
-
-func (r *largeRecords) Update(map[string]metastore.Item) *roster.Facts { return &r.facts }
-
+// newLargeState returns a state before a fleet of 3,000 targets that 300 instances serve, and the items that make it up.
 func newLargeState() (*State, map[string]metastore.Item) {
-	r := &largeRecords{facts: roster.Facts{Targets: map[string]roster.Record{}, Weights: map[string]int{"m": 1}}}
+	r := &fixedRecords{facts: roster.Facts{Targets: map[string]roster.Record{}, Weights: map[string]int{"m": 1}}}
 	r.facts.Catalog = catalog.New(1, catalog.Limits{}, nil, []catalog.Service{
 		{Name: "llm", MaxConnections: 500, ColdPerSecond: 10, ColdTime: time.Second, Engine: &catalog.Engine{Slots: 64, CacheTokens: 80_000, Models: []string{"m"}}},
 		{Name: "plain", MaxConnections: 500},
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/sleep"
 	"github.com/egrethoist/egrethoist/platform/standin"
 )
 
@@ -63,16 +64,7 @@
 		} else {
 			c.request(client, cl, rng, 1)
 		}
-		_ = sleepFor(ctx, time.Duration(rng.ExpFloat64()*float64(think))) // the loop looks at ctx itself
-	}
-}
-
-func sleepFor(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
+		_ = sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(think))) // the loop looks at ctx itself
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/sleep"
 	"github.com/egrethoist/egrethoist/platform/standin"
 )
 
@@ -112,7 +113,7 @@
 func (f *fleet) inject(ctx context.Context, faults []fault) {
 	start := time.Now()
 	for _, fl := range faults {
-		if sleepFor(ctx, time.Until(start.Add(fl.at))) != nil {
+		if sleep.For(ctx, time.Until(start.Add(fl.at))) != nil {
 			break
 		}
 		f.logFaults(fl.String())
@@ -132,7 +133,7 @@
 	done := f.calm.disturb(part)
 	defer done()
 	begin()
-	_ = sleepFor(ctx, fl.length) // the fault ends either way
+	_ = sleep.For(ctx, fl.length) // the fault ends either way
 	end()
 }
 
@@ -276,7 +277,7 @@
 	f.withTarget(fl, "", func(p *place) {
 		p.target.Stop(false)
 		p.link.resetAll()
-		_ = sleepFor(ctx, fl.length) // it returns either way
+		_ = sleep.For(ctx, fl.length) // it returns either way
 		f.refill(p, p.service)
 	})
 }
@@ -308,7 +309,7 @@
 	defer f.release(p)
 	f.leave(p)
 	f.refill(p, plainNext)
-	_ = sleepFor(ctx, fl.length) // it goes back either way
+	_ = sleep.For(ctx, fl.length) // it goes back either way
 	f.leave(p)
 	f.refill(p, plain)
 }
@@ -318,7 +319,7 @@
 	moods := []standin.Mood{{Fail: share}, {Lose: share}, {Garbage: share}, {Truncate: share}, {Extra: share}}
 	f.withTarget(fl, "", func(p *place) {
 		p.target.SetMood(moods[fl.pick%len(moods)])
-		_ = sleepFor(ctx, fl.length) // the mood ends either way
+		_ = sleep.For(ctx, fl.length) // the mood ends either way
 		p.target.SetMood(standin.Mood{})
 	})
 }
@@ -339,7 +340,7 @@
 		defer f.calm.disturb(t.ID())()
 		t.SetMood(standin.Mood{Fail: 0.5 + fl.share/2, Truncate: fl.share / 2})
 	}
-	_ = sleepFor(ctx, times*fl.length) // they recover either way
+	_ = sleep.For(ctx, times*fl.length) // they recover either way
 	for _, t := range moody {
 		t.SetMood(standin.Mood{})
 	}
@@ -352,7 +353,7 @@
 func (f *fleet) delayTarget(ctx context.Context, fl fault) {
 	f.withTarget(fl, "", func(p *place) {
 		p.link.delay.Store(int64(fl.share * float64(200*time.Millisecond)))
-		_ = sleepFor(ctx, fl.length) // the link recovers either way
+		_ = sleep.For(ctx, fl.length) // the link recovers either way
 		p.link.delay.Store(0)
 	})
 }
@@ -364,7 +365,7 @@
 func (f *fleet) silenceTarget(ctx context.Context, fl fault) {
 	f.withTarget(fl, "", func(p *place) {
 		p.link.silenceAll()
-		_ = sleepFor(ctx, fl.length) // callers meet it for a while
+		_ = sleep.For(ctx, fl.length) // callers meet it for a while
 	})
 }
 
@@ -375,7 +376,7 @@
 			way = &p.link.cutDown
 		}
 		way.Store(true)
-		_ = sleepFor(ctx, fl.length) // the link heals either way
+		_ = sleep.For(ctx, fl.length) // the link heals either way
 		way.Store(false)
 	})
 }
@@ -383,7 +384,7 @@
 func (f *fleet) muteTarget(ctx context.Context, fl fault) {
 	f.withTarget(fl, "", func(p *place) {
 		p.target.Silent.Store(true)
-		_ = sleepFor(ctx, fl.length+standin.LostAfter*standin.Heartbeat) // it writes again either way
+		_ = sleep.For(ctx, fl.length+standin.LostAfter*standin.Heartbeat) // it writes again either way
 		p.target.Silent.Store(false)
 	})
 }
@@ -395,7 +396,7 @@
 func (f *fleet) slowStore(ctx context.Context, fl fault) {
 	s := f.storeOf(fl)
 	s.Slow.Store(int64(fl.share * float64(400*time.Millisecond)))
-	_ = sleepFor(ctx, fl.length) // it recovers either way
+	_ = sleep.For(ctx, fl.length) // it recovers either way
 	s.Slow.Store(0)
 }
 
@@ -404,14 +405,14 @@
 func (f *fleet) skewStore(ctx context.Context, fl fault) {
 	s := f.storeOf(fl)
 	s.Skew.Store(int64((fl.share - 0.5) * 4000))
-	_ = sleepFor(ctx, fl.length) // the clock jumps back either way
+	_ = sleep.For(ctx, fl.length) // the clock jumps back either way
 	s.Skew.Store(0)
 }
 
 func (f *fleet) holdSaves(ctx context.Context, fl fault) {
 	s := f.storeOf(fl)
 	s.Hold.Store(true)
-	_ = sleepFor(ctx, fl.length) // saves go on either way
+	_ = sleep.For(ctx, fl.length) // saves go on either way
 	s.Hold.Store(false)
 }
 
@@ -434,7 +435,7 @@
 	const pause = 80 * time.Millisecond
 	for range 2 + fl.pick%10 {
 		f.moveRoute(ctx, fl)
-		if sleepFor(ctx, pause) != nil {
+		if sleep.For(ctx, pause) != nil {
 			return
 		}
 	}
@@ -446,7 +447,7 @@
 		f.configure(func(c *standin.Config) { c.Workspaces[last].Keys = list })
 	}
 	set(nil)
-	_ = sleepFor(ctx, fl.length+bounds.ConfigApply) // it is given back either way
+	_ = sleep.For(ctx, fl.length+bounds.ConfigApply) // it is given back either way
 	set([]string{keys[last].key})
 }
 
@@ -464,7 +465,7 @@
 	domain := domains[fl.pick%len(domains)]
 	f.operator.Evacuate(domain, true)
 	f.world.evacuate(domain, true)
-	_ = sleepFor(ctx, fl.length+bounds.Evacuate+beyond) // it is taken back either way
+	_ = sleep.For(ctx, fl.length+bounds.Evacuate+beyond) // it is taken back either way
 	f.world.evacuate(domain, false)
 	f.operator.Evacuate(domain, false)
 }
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -38,20 +38,9 @@
 	return nil
 }
 
-// run lets a target run the request as it was sent.
+// run returns the run of the request as it was sent.
 func (s *stage) run(a *attempt, target string) standin.Run {
-	r := standin.Run{
-		ID: a.call.ID, Target: target, Service: a.class.service, Domain: domains[0], At: time.Now(), Path: a.call.Path, Host: host,
-		Workspace: keys[0].workspace, Model: a.call.Model, Weights: 1,
-	}
-	if a.class.stream {
-		req, err := a.call.Request(s.t.Context(), "http://x")
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		r.Usage, r.Prefix = req.Header.Get("Token-Usage"), req.Header.Get("Prompt-Prefix")
-	}
-	return r
+	return standin.RunOf(&a.call, target, a.class.service, domains[0], keys[0].workspace, time.Now())
 }
 
 func (s *stage) execute(r standin.Run) { s.Arrived(r); s.Ran(r) }
