--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,10 @@
 	}
 	faults := plan(o.Seed, o.Length)
 	f.play(ctx, faults)
+	if ctx.Err() != nil {
+		f.close()
+		return nil, ctx.Err() // what is seen of a run that was cut short proves nothing
+	}
 	f.judgeEnd()
 	f.close()
 	f.judgeLogs()
