--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -226,9 +226,29 @@
 	peerPort  = 7002
 )
 
+// seedAddresses is the number of seeds that can be played side by side without sharing addresses.
+const seedAddresses = 200
+
+// checkFree fails if another process uses an instance's ports, such as one that an interrupted run left behind.
+func checkFree(ip string) error {
+	for _, port := range []int{frontPort, readyPort, peerPort} {
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return fmt.Errorf("an instance's port is in use (by an earlier run, or a seed %d apart): %w", seedAddresses, err)
+		}
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (f *fleet) addInstance(i int, dir, meta string) error {
 	name := fmt.Sprintf("front-%d", i)
-	ip := loopback(groupInstances, int(f.opts.Seed%200)*250+i) // runs beside this one have other seeds
+	ip := loopback(groupInstances, int(f.opts.Seed%seedAddresses)*250+i) // runs beside this one have other seeds
+	if err := checkFree(ip); err != nil {
+		return err
+	}
 	store, err := newLink(ip+":0", meta)
 	if err != nil {
 		return err
