A copy of the metadata is never told younger than it is

Found by reading: the state was read before its age, so a change between the two let an older state pass with a newer age. Read in the other order. No test: the gap is a few instructions wide.

--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -67,8 +67,8 @@
 
 // Copy returns the state for a peer that has one revision already; false if there is none yet.
 func (m *Mirror) Copy(after uint64) (Copy, bool) {
+	age, known := m.Age() // before the state: it must not be told younger than it is
 	c := m.copied.Load()
-	age, known := m.Age()
 	if c == nil || !known {
 		return Copy{}, false
 	}
