--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -159,3 +159,66 @@
 		}
 	})
 }
+
+// stalledStore holds back the answers of watches, as a process does that stands still before it reads them.
+type stalledStore struct {
+	*memory.Store
+	stall atomic.Int64 // nanoseconds
+}
+
+func (s *stalledStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]metastore.Event, uint64, error) {
+	events, asOf, err := s.Store.Watch(ctx, prefix, after, wait)
+	time.Sleep(time.Duration(s.stall.Load()))
+	return events, asOf, err
+}
+
+// Incident of 2026-12-04 (DRAIN), a suspected cause: an answer that the store gave before the process stood still confirmed
+// the state as of after it.
+func TestAnswerFromBeforeAStandStillDoesNotConfirmTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &stalledStore{Store: memory.New()}
+		m, get := follow(t, metastore.MirrorOptions{Store: store})
+		get("")
+		const stall = 4 * time.Second
+		store.stall.Store(int64(stall))
+		time.Sleep(stall + 1500*time.Millisecond) // one watch begins and ends, with the stall in its answer
+		youngest := stall
+		for range 20 {
+			age, _ := m.Age()
+			youngest = min(youngest, age)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if youngest < stall-time.Second {
+			t.Errorf("an age of %v by an answer that was made %v before", youngest, stall)
+		}
+	})
+}
+
+// The class of the incident of 2026-12-04: a reading older than the state that a peer had given was dropped, and confirmed
+// that state all the same.
+func TestOlderReadingDoesNotConfirmTheState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		var down atomic.Bool
+		m, get := follow(t, metastore.MirrorOptions{Store: store, FromPeer: func(context.Context, uint64) (metastore.Copy, error) {
+			if down.Load() {
+				return metastore.Copy{}, metastore.ErrUnavailable
+			}
+			return metastore.Copy{AsOf: 100}, nil
+		}})
+		get("")
+		store.SetFault(func(string) error { return metastore.ErrUnavailable })
+		time.Sleep(3 * time.Second)
+		store.SetFault(func(call string) error { // the store answers again, at a revision below the peer's
+			if call == "range" {
+				return nil
+			}
+			return metastore.ErrUnavailable
+		})
+		down.Store(true)
+		time.Sleep(4 * time.Second)
+		if got, _ := m.Age(); got < 3*time.Second {
+			t.Errorf("age %v, though all readings since were older than the state", got)
+		}
+	})
+}
