One failed call of the metadata store is no outage: a removal after it holds at once

Cause: the mirror noted a return of the store after any failed call, a watch that was cut included, and for 1.8 s from then the roster took every record that went missing for lapsed in an outage. A target that was removed just after such a call was offered for two seconds more, the drain bound. Change: only a time without word of the store that can let records lapse (two heartbeats of the targets, 2 s at least) counts as an outage. Ruled out: asking after each missing target by a health check; it costs a probe and may itself be answered late.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -43,6 +43,9 @@
 	// lapseGrace is how long a target is used whose record lapsed while the store was out of reach, after the store's
 	// return: live ones are back within about two seconds.
 	lapseGrace = 1800 * time.Millisecond
+	// lapseHeartbeats is how many heartbeats of the targets an outage of the store must last before a record can lapse in it:
+	// records lapse after three, and may have been written one before the outage.
+	lapseHeartbeats = 2
 	// prefillRate is the tokens a second that a model engine is taken to read until its rate is learned.
 	prefillRate   = 50_000
 	metricsPeriod = time.Second
@@ -99,7 +102,9 @@
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryTime: s.RetryWindow, PrefillRate: prefillRate,
 		WeightsTime: s.WeightsTime,
 	})
-	p.mirror = metastore.NewMirror(metastore.MirrorOptions{Store: p.store, Prefix: "", OnChange: p.state.OnChange, FromPeer: p.copyFromPeer})
+	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
+		Store: p.store, Prefix: "", OnChange: p.state.OnChange, FromPeer: p.copyFromPeer, LapseAfter: lapseHeartbeats * s.Heartbeat,
+	})
 	p.engines = platform.NewEngines()
 	p.keeper = gateway.NewKeeper(p.state, p.engines, p.isCurrent)
 	p.gateway = gateway.New(gateway.Options{
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -23,6 +23,9 @@
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// leastOutage is the shortest time without word of the store that counts as an outage: more than the state's age when one
+	// watch fails and the next call does not.
+	leastOutage = 2 * watchWait
 	// peerAfter is how long the store must have been out of reach before peers are asked.
 	peerAfter = 300 * time.Millisecond
 )
@@ -44,6 +47,8 @@
 	// FromPeer asks another instance for its copy while the store is out of reach, if it is newer than a revision; nil asks
 	// none.
 	FromPeer func(ctx context.Context, after uint64) (Copy, error)
+	// LapseAfter is the shortest outage of the store in which records can have lapsed unseen; at least leastOutage counts.
+	LapseAfter time.Duration
 	// Clock also counts the time for which the machine is suspended; nil: bootclock.Now.
 	Clock func() time.Duration
 }
@@ -63,6 +68,7 @@
 	if o.Clock == nil {
 		o.Clock = bootclock.Now
 	}
+	o.LapseAfter = max(o.LapseAfter, leastOutage)
 	return &Mirror{opts: o, items: map[string]Item{}}
 }
 
@@ -92,7 +98,8 @@
 	m.current.Store(max(m.current.Load(), int64(at)))
 }
 
-// Returned returns when the store was reached again after an outage; zero if there was none.
+// Returned returns when the store was reached again after an outage in which records can have lapsed; zero if there was
+// none.
 func (m *Mirror) Returned() time.Time {
 	if at := m.returned.Load(); at != nil {
 		return *at
@@ -100,6 +107,14 @@
 	return time.Time{}
 }
 
+// noteReturn notes the first answer of the store after failed calls, if these make an outage.
+func (m *Mirror) noteReturn(now time.Time) {
+	if age, known := m.Age(); known && age >= m.opts.LapseAfter {
+		klog.InfoS("records may have lapsed unseen", "revision", m.asOf, "age", age)
+		m.returned.Store(&now)
+	}
+}
+
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	synced := false
@@ -121,8 +136,8 @@
 		if err == nil {
 			if failures > 0 {
 				klog.InfoS("metadata store reached again", "revision", m.asOf, "failures", failures, "outage", now.Sub(lostAt))
-				m.returned.Store(&now)
 				failures = 0
+				m.noteReturn(now)
 			}
 			m.confirm(m.opts.Clock())
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx itself
