Records that lapsed in an outage are used on: the return of the store is known before its items

Callers: after an outage of the metadata store in which records lapse, every target of a service could be gone for a second or two, and callers be refused. Cause: the mirror handed over the first reading after an outage before it noted the return, so the roster took what was missing for removed. Evidence: TestRecordsThatLapsedInAnOutageAreUsedOn failed on; in trial 'target gone' comes before 'metadata store reached again'. Change: the return is noted before the items are taken in.

--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -123,7 +123,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if !synced {
-			err = m.resync(ctx)
+			err = m.resync(ctx, failures > 0)
 			synced = err == nil
 		} else {
 			err = m.follow(ctx)
@@ -137,7 +137,6 @@
 			if failures > 0 {
 				klog.InfoS("metadata store reached again", "revision", m.asOf, "failures", failures, "outage", now.Sub(lostAt))
 				failures = 0
-				m.noteReturn(now)
 			}
 			m.confirm(m.opts.Clock())
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx itself
@@ -160,11 +159,15 @@
 	return ctx.Err()
 }
 
-func (m *Mirror) resync(ctx context.Context) error {
+// resync reads all items anew, after failed calls if lost is set.
+func (m *Mirror) resync(ctx context.Context, lost bool) error {
 	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix)
 	if err != nil {
 		return err
 	}
+	if lost {
+		m.noteReturn(time.Now()) // before the items: what is missing of them may have lapsed
+	}
 	m.replace(items, asOf)
 	return nil
 }
