Metadata is as young as the store's answer can be, not as its arrival; older readings confirm nothing

Cause: the mirror confirmed the state as of the moment at which it had processed an answer. An answer from before a stand-still of the process, a reading older than the state, and the refusal of a watch whose history is gone (410) confirmed it too. Change: a reading confirms as of its call; a watch without changes as of its wait, one with changes as of its call. So that the age stays below 1.2 s, the watch after one with changes waits for what is left. An older reading is a failed call. After a 410 the state is read anew at once, 0.2 s sooner.

--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,8 @@
 	// watchWait is the longest wait of one watch. A connection that fell silent shows by its end, so it is well below
 	// the time within which a new configuration must be in force.
 	watchWait = time.Second
+	// watchLeast is the shortest wait of a watch: a few round trips.
+	watchLeast = 100 * time.Millisecond
 	// watchPause collects changes before the next watch: a change that comes in several steps costs one call.
 	watchPause = 200 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
@@ -129,7 +132,8 @@
 			err = m.follow(ctx)
 			if errors.Is(err, ErrHistoryLost) {
 				klog.InfoS("history of the metadata store compacted, reading anew", "revision", m.asOf)
-				synced, err = false, nil
+				synced = false
+				continue
 			}
 		}
 		now := time.Now()
@@ -138,7 +142,6 @@
 				klog.InfoS("metadata store reached again", "revision", m.asOf, "failures", failures, "outage", now.Sub(lostAt))
 				failures = 0
 			}
-			m.confirm(m.opts.Clock())
 			_ = sleep.For(ctx, watchPause) // the loop looks at ctx itself
 			continue
 		}
@@ -161,22 +164,27 @@
 
 // resync reads all items anew, after failed calls if lost is set.
 func (m *Mirror) resync(ctx context.Context, lost bool) error {
+	asked := m.opts.Clock()
 	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix)
 	if err != nil {
 		return err
 	}
+	if asOf < m.asOf {
+		return fmt.Errorf("%w: revision %d, known %d", errOldReading, asOf, m.asOf)
+	}
 	if lost {
 		m.noteReturn(time.Now()) // before the items: what is missing of them may have lapsed
 	}
 	m.replace(items, asOf)
+	m.confirm(asked)
 	return nil
 }
 
-// replace takes a whole reading. Keys that changed after it was made keep their newer value.
+// errOldReading says that the store answered with a state from before the one that it, or a peer, gave earlier.
+var errOldReading = errors.New("reading older than the known state")
+
+// replace takes a whole reading that is not older than the state. Keys that changed after it was made keep their newer value.
 func (m *Mirror) replace(items []Item, asOf uint64) {
-	if asOf < m.asOf {
-		return
-	}
 	next := make(map[string]Item, len(items))
 	for _, item := range items {
 		if old, ok := m.items[item.Key]; ok && old.Revision > item.Revision {
@@ -188,11 +196,19 @@
 	m.publish()
 }
 
+// follow waits for changes once.
 func (m *Mirror) follow(ctx context.Context) error {
-	events, asOf, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, watchWait)
+	asked, wait := m.opts.Clock(), m.wait()
+	events, asOf, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, wait)
 	if err != nil {
 		return err
 	}
+	// The process may have stood still since the answer was made. An answer without changes was made when the wait was over,
+	// one with changes at any time since the call.
+	made := asked
+	if len(events) == 0 {
+		made = min(asked+wait, m.opts.Clock())
+	}
 	for _, e := range events {
 		old, ok := m.items[e.Key]
 		switch {
@@ -205,9 +221,17 @@
 	}
 	m.asOf = max(m.asOf, asOf)
 	m.publish()
+	m.confirm(made)
 	return nil
 }
 
+// wait returns how long the next watch waits: after one that ended with changes it is shorter, so that the state does not
+// grow older than without changes.
+func (m *Mirror) wait() time.Duration {
+	age, _ := m.Age()
+	return max(watchWait+watchPause-age, watchLeast)
+}
+
 func (m *Mirror) publish() {
 	c := &Copy{AsOf: m.asOf, Items: make([]Item, 0, len(m.items))}
 	for _, item := range m.items {
