--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -2,6 +2,7 @@
 package logline
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -82,6 +83,13 @@
 	<-w.done
 }
 
+// lost counts the lines of a batch that the output did not take. The next line that is written tells their number.
+func (w *Writer) lost(rest []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropped += bytes.Count(rest, []byte{'\n'})
+}
+
 func (w *Writer) run() {
 	defer close(w.done)
 	var batch []byte
@@ -101,6 +109,8 @@
 			}
 		}
 		timer.Stop()
-		_, _ = w.out.Write(batch) // there is nowhere to report that the log itself fails
+		if n, err := w.out.Write(batch); err != nil {
+			w.lost(batch[n:])
+		}
 	}
 }
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -47,3 +48,39 @@
 		}
 	})
 }
+
+// flaky is an output that fails once after it took a few bytes.
+type flaky struct {
+	failed bool
+	out    bytes.Buffer
+}
+
+func (f *flaky) Write(p []byte) (int, error) {
+	if !f.failed {
+		f.failed = true
+		n, _ := f.out.Write(p[:5])
+		return n, errors.New("output full")
+	}
+	return f.out.Write(p)
+}
+
+// A batch that the output does not take must not vanish without a word.
+func TestLinesThatTheOutputRefusesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &flaky{}
+		w := New(out)
+		for _, line := range []string{"one\n", "two\n", "three\n"} {
+			if _, err := w.Write([]byte(line)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if _, err := w.Write([]byte("four\n")); err != nil {
+			t.Fatal(err)
+		}
+		w.Close()
+		if text := out.out.String(); !strings.Contains(text, `"log lines dropped","count":2}`) || !strings.HasSuffix(text, "four\n") {
+			t.Errorf("wrote %q, want two lines told as dropped", text)
+		}
+	})
+}
