An entry judges a request's key by the configuration in force once its body is there

A key that was taken away while a body was under way still ran the request: the key was looked up before the body was read, and never again. Targets were no issue there: an entry picks by the newest view at each try, and a sidecar that drains refuses. Evidence: TestLateBodyIsJudgedByTheKeysInForce (internal/fleet) failed for model calls and short bodies of plain calls. Change: the key and the service are looked up again after the body; the first look only keeps strangers' bodies out.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -122,14 +122,17 @@
 }
 
 func (e *Entry) modelRequest(r *http.Request) (*Request, *Error) {
-	v, ws, fail := e.authenticate(r)
-	if fail != nil {
+	if _, _, fail := e.authenticate(r); fail != nil {
 		return nil, fail
 	}
 	body, err := readHeld(r.Body)
 	if err != nil {
 		return nil, e.invalidBody(err)
 	}
+	v, ws, fail := e.authenticate(r) // by the configuration in force now: the body may have come late
+	if fail != nil {
+		return nil, fail
+	}
 	call, err := prompt.Parse(body)
 	if err != nil {
 		return nil, notRun(CodeInvalid, "parse body", e.opts.Name, err.Error())
@@ -170,7 +173,14 @@
 }
 
 func (e *Entry) plainRequest(r *http.Request, service, rest string) (*Request, *Error) {
-	v, ws, fail := e.authenticate(r)
+	if _, _, fail := e.authenticate(r); fail != nil {
+		return nil, fail
+	}
+	body, err := newBody(r)
+	if err != nil {
+		return nil, e.invalidBody(err)
+	}
+	v, ws, fail := e.authenticate(r) // by the configuration in force now: a short body was waited for
 	if fail != nil {
 		return nil, fail
 	}
@@ -178,10 +188,6 @@
 	if fail != nil {
 		return nil, fail
 	}
-	body, err := newBody(r)
-	if err != nil {
-		return nil, e.invalidBody(err)
-	}
 	deadline, fail := e.deadline(r, defaultPlainTimeout)
 	if fail != nil {
 		return nil, fail
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	fakeengine "github.com/egrethoist/egrethoist/internal/fake/engine"
 	"github.com/egrethoist/egrethoist/internal/prompt"
+	"github.com/egrethoist/egrethoist/internal/world"
 )
 
 const chat = "/v1/chat/completions"
@@ -189,3 +192,42 @@
 		}
 	})
 }
+
+// The class of the incident of 2026-12-04 (a view kept over time): a key that was taken away while the body was under way.
+func TestLateBodyIsJudgedByTheKeysInForce(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", bookings} {
+		run(t, small(t, 1), func(b *bed) {
+			body, writer := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(writer, "{")
+				time.Sleep(time.Second) // the entry waits for the rest
+				next := b.Entries[0].Config.Current().Clone(func(*world.Target) {})
+				next.Workspaces = map[string]*world.Workspace{}
+				for name, ws := range b.Entries[0].Config.Current().Workspaces {
+					without := *ws
+					without.Keys = nil
+					next.Workspaces[name] = &without
+				}
+				next.Revision.Number++
+				b.setWorld(next)
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(writer, chatBody("")[1:])
+				_ = writer.Close()
+			}()
+			req, err := http.NewRequest(http.MethodPost, b.Entries[0].URL+path, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+b.key)
+			req.ContentLength = int64(len(chatBody("")))
+			resp, err := b.caller.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusUnauthorized {
+				t.Errorf("%s: status %d with a key that no workspace holds", path, resp.StatusCode)
+			}
+		})
+	}
+}
