Soak: late bodies, long streams, targets that leave together, linger or vanish, instances short of processor; DRAIN as the platform states it

Cause: no request lasted as long as the drain bound; leaving targets lingered for one second and always reported that they drained; DRAIN was judged only if all parts had been calm from before the leaving; nobody was short of processor.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -17,9 +17,9 @@
 
 // classes are the kinds of request, as the users' sheets name them.
 var classes = []class{
-	{name: "plan", prefix: "/plan/", path: "/plan/a%2fb//c?q=1&r=%20", service: engines, repeatable: true, stream: true, resumable: true, patience: 5 * time.Second},
+	{name: "plan", prefix: "/plan/", path: "/plan/a%2fb//c?q=1&r=%20", service: engines, repeatable: true, stream: true, resumable: true, patience: 15 * time.Second},
 	{name: "check", prefix: "/check/", path: "/check/1", service: engines, stream: true, patience: 3 * time.Second},
-	{name: "book", prefix: "/book/", path: "/book/1", service: plain, patience: 3 * time.Second},
+	{name: "book", prefix: "/book/", path: "/book/1", service: plain, patience: 8 * time.Second},
 	{name: "look", prefix: "/look/", path: "/look/1", service: plain, repeatable: true, patience: 3 * time.Second},
 }
 
@@ -98,6 +98,9 @@
 	if cl.stream {
 		prompt := rng.IntN(prompts)
 		call.Model, call.Output = model, 2+rng.IntN(12)
+		if cl.resumable && rng.IntN(longStreams) == 0 {
+			call.Output += rng.IntN(longStream)
+		}
 		call.Parts = []standin.Part{
 			{ID: fmt.Sprintf("%x", prompt%4), Tokens: partTokens}, {ID: fmt.Sprintf("%x", 100+prompt), Tokens: partTokens}, {ID: "f" + id, Tokens: 50},
 		}
@@ -109,6 +112,12 @@
 // request sends one request, and comes back after a refusal.
 func (c *callers) request(client *http.Client, cl *class, rng *rand.Rand, retries int) {
 	a := c.newAttempt(cl, rng)
+	if cl.patience > mostSlow && rng.IntN(slowCallers) == 0 {
+		a.bodyPause = leastSlow + time.Duration(rng.Int64N(int64(mostSlow-leastSlow)))
+	}
+	if rng.IntN(slowCallers) == 0 {
+		a.readPause = time.Duration(rng.Int64N(int64(mostSlow)))
+	}
 	c.send(context.Background(), client, a)
 	if a.notRun && retries > 0 {
 		after, err := time.ParseDuration(a.reply.RetryAfter + "s")
@@ -119,6 +128,41 @@
 	}
 }
 
+const (
+	// longStreams is the share, one in so many, of resumable streams that are long; the longest lasts three drain bounds.
+	longStreams = 4
+	longStream  = 1500 // events
+	// slowCallers is the share of callers' requests, one in so many, whose body comes late, and of those that read late.
+	slowCallers = 12
+	// leastSlow and mostSlow bound the pause of a slow caller: beyond the drain bound.
+	leastSlow = 2 * time.Second
+	mostSlow  = 5 * time.Second
+)
+
+// pausingReader gives half of a body, and the rest after a pause.
+type pausingReader struct {
+	parts []string
+	pause time.Duration
+}
+
+func (p *pausingReader) Read(b []byte) (int, error) {
+	if len(p.parts) == 0 {
+		return 0, io.EOF
+	}
+	if len(p.parts) == 1 {
+		time.Sleep(p.pause)
+	}
+	n := copy(b, p.parts[0])
+	p.parts = p.parts[1:] // a transport's buffer takes a whole half
+	return n, nil
+}
+
+// slowly makes the body of a request come late.
+func slowly(req *http.Request, body string, pause time.Duration) {
+	half := len(body) / 2
+	req.Body, req.GetBody = io.NopCloser(&pausingReader{[]string{body[:half], body[half:]}, pause}), nil
+}
+
 // leaveEarly sends a request and does not wait for its answer.
 func (c *callers) leaveEarly(ctx context.Context, client *http.Client, cl *class, rng *rand.Rand) {
 	a := c.newAttempt(cl, rng)
@@ -143,11 +187,15 @@
 	if err != nil {
 		panic(fmt.Sprintf("soak: build request: %v", err)) // own constants
 	}
+	if a.bodyPause > 0 {
+		slowly(req, a.call.Body, a.bodyPause)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		c.fleet.ledger.end(a, standin.Reply{}, "", err)
 		return
 	}
+	_ = sleep.For(ctx, a.readPause) // the rest is read either way
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	c.fleet.ledger.end(a, standin.ReadReply(resp), string(body), err)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	{"instance stopped in order", 4, (*fleet).terminateInstance},
 	{"instance killed", 3, (*fleet).killInstance},
 	{"instance paused", 4, (*fleet).pauseInstance},
+	{"instance short of processor", 2, (*fleet).starveInstance},
 	{"settings read anew", 2, (*fleet).hangUp},
 	{"instances stopped in turn", 1, (*fleet).rollInstances},
 	{"callers' link slow", 1, (*fleet).delayFront},
@@ -47,6 +49,8 @@
 	{"store forgets its history", 2, (*fleet).storeCompacts},
 	{"target crashes", 3, (*fleet).crashTarget},
 	{"target leaves", 4, (*fleet).replaceTarget},
+	{"targets leave together", 3, (*fleet).replaceTargets},
+	{"target leaves without a word", 3, (*fleet).vanishTarget},
 	{"address used by another service", 2, (*fleet).reuseAddress},
 	{"target misbehaves", 5, (*fleet).moodTarget},
 	{"service misbehaves", 4, (*fleet).moodService},
@@ -167,6 +171,20 @@
 	f.during(ctx, fl, in.machine.Name, func() { in.signal(syscall.SIGSTOP) }, func() { in.signal(syscall.SIGCONT) })
 }
 
+// starveInstance gives an instance a part of the processor for a while, in turns of a tenth of a second, as a quota does. It is no
+// disturbance: all promises hold.
+func (f *fleet) starveInstance(ctx context.Context, fl fault) {
+	const turn = 100 * time.Millisecond
+	in := f.instanceOf(fl)
+	run := time.Duration((0.3 + 0.5*fl.share) * float64(turn)) // 0.3 of a core is the platform's share
+	for end := time.Now().Add(fl.length); time.Now().Before(end) && ctx.Err() == nil; {
+		in.signal(syscall.SIGSTOP)
+		time.Sleep(turn - run)
+		in.signal(syscall.SIGCONT)
+		_ = sleep.For(ctx, run) // the loop looks at ctx itself
+	}
+}
+
 func (f *fleet) hangUp(_ context.Context, fl fault) {
 	in := f.instanceOf(fl)
 	if err := in.writeSettings(); err != nil {
@@ -282,13 +300,41 @@
 	})
 }
 
+// mostLinger is how long a leaving target serves on beyond the drain bound, at most: at times many seconds.
+const mostLinger = 6 * time.Second
+
 // leave drains a target as the platform does, and ends it.
-func (f *fleet) leave(p *place) {
-	const linger = time.Second
+func (f *fleet) leave(p *place, fl fault) { f.leaveBy(p, fl, (*standin.Target).Drain) }
+
+func (f *fleet) leaveBy(p *place, fl fault, tell func(*standin.Target)) {
+	tell(p.target)
 	f.world.left(p.target.ID())
-	p.target.Drain()
-	time.Sleep(bounds.Drain + linger)
+	time.Sleep(bounds.Drain + time.Duration(fl.share*float64(mostLinger)))
+	ended := f.calm.disturb(p.target.ID()) // it breaks off what still runs
 	p.target.Stop(true)
+	ended()
+}
+
+// vanishTarget makes a target leave without ever reporting that it drains: its record is removed, and it serves on.
+func (f *fleet) vanishTarget(_ context.Context, fl fault) {
+	p := f.take(fl, "")
+	if p == nil {
+		return
+	}
+	defer f.release(p)
+	f.leaveBy(p, fl, (*standin.Target).Withdraw)
+	f.refill(p, p.service)
+}
+
+// replaceTargets makes several targets leave at about the same time and serve on for different times.
+func (f *fleet) replaceTargets(ctx context.Context, fl fault) {
+	var all sync.WaitGroup
+	for i := range 3 {
+		one := fl
+		one.pick, one.share = fl.pick+i, fl.share*float64(i+1)/3
+		all.Go(func() { f.replaceTarget(ctx, one) })
+	}
+	all.Wait()
 }
 
 func (f *fleet) replaceTarget(_ context.Context, fl fault) {
@@ -297,7 +343,7 @@
 		return
 	}
 	defer f.release(p)
-	f.leave(p)
+	f.leave(p, fl)
 	f.refill(p, p.service)
 }
 
@@ -307,10 +353,10 @@
 		return
 	}
 	defer f.release(p)
-	f.leave(p)
+	f.leave(p, fl)
 	f.refill(p, plainNext)
 	_ = sleep.For(ctx, fl.length) // it goes back either way
-	f.leave(p)
+	f.leave(p, fl)
 	f.refill(p, plain)
 }
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -24,18 +24,20 @@
 
 // attempt is one attempt of a caller and all that is seen of it.
 type attempt struct {
-	call     standin.Call
-	class    *class
-	instance string
-	sent     time.Time
-	done     time.Time
-	reply    standin.Reply
-	err      string // why there is no whole answer
-	left     bool   // the caller did not wait for it
-	notRun   bool   // the caller was told so
-	ran      []standin.Run
-	arrived  []standin.Run
-	answers  []standin.Answer
+	call      standin.Call
+	class     *class
+	instance  string
+	sent      time.Time
+	done      time.Time
+	reply     standin.Reply
+	err       string        // why there is no whole answer
+	left      bool          // the caller did not wait for it
+	bodyPause time.Duration // in the middle of its body
+	readPause time.Duration // before the caller reads the answer
+	notRun    bool          // the caller was told so
+	ran       []standin.Run
+	arrived   []standin.Run
+	answers   []standin.Answer
 }
 
 // violation is a promise that was seen broken.
@@ -108,17 +110,27 @@
 		return
 	}
 	a.arrived = append(a.arrived, r)
+	l.checkDrain(a, r)
 	contact := l.bounds.Contact
-	if left, ok := l.world.leftAt(r.Target); ok && r.At.After(left.Add(l.bounds.Drain)) &&
-		l.inTouch(left.Add(-contact), r.At, a.instance) && l.calm.quiet(left.Add(-contact), r.At, r.Target) {
-		l.broken("DRAIN", "request %s reaches %s %v after it was known to leave, through %s", r.ID, r.Target, r.At.Sub(left), a.instance)
-	}
 	if out, ok := l.world.evacuatedAt(r.Domain); ok && r.At.After(out.Add(l.bounds.Evacuate)) &&
 		l.inTouch(out.Add(-contact), r.At, a.instance) {
 		l.broken("EVAC", "request %s reaches %s in %s %v after its evacuation, through %s", r.ID, r.Target, r.Domain, r.At.Sub(out), a.instance)
 	}
 }
 
+// checkDrain judges a request by its target's leaving. The store must have been sound when it acknowledged that, the instance from
+// the contact time before it took the request until it sent it, and the target's link for the contact time before the arrival.
+func (l *ledger) checkDrain(a *attempt, r standin.Run) {
+	left, ok := l.world.leftAt(r.Target)
+	contact := l.bounds.Contact
+	if !ok || !r.At.After(left.Add(l.bounds.Drain)) || !l.calm.quiet(left.Add(-contact), left, metaStore) ||
+		!l.inTouch(a.sent.Add(-contact), r.At, a.instance) || !l.calm.quiet(r.At.Add(-contact), r.At, r.Target) {
+		return
+	}
+	l.broken("DRAIN", "request %s (try %d, sent %v before) reaches %s %v after it was known to leave, through %s", r.ID, len(a.arrived),
+		r.At.Sub(a.sent), r.Target, r.At.Sub(left), a.instance)
+}
+
 // Ran implements standin.Observer.
 func (l *ledger) Ran(r standin.Run) {
 	l.mu.Lock()
