The owner of orders does not wait for targets that do not answer, and they keep no loading slot

Cause: the owner asked the targets that were out one after the other, and each dead one held up the step for the time limit of a call, 0.7 s; a target without a report counted as busy and kept its place among those that are out. Change: all are asked at once, a look at them waits 0.1 s, later reports are seen at the next look. A target that missed two reports is asked every two seconds and gives its place to another; only a sixth of the targets can do so, since all may be silent towards the owner alone (TestSilentTargetsGiveTheirPlacesToOthers).

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -64,8 +64,12 @@
 // Orderer gives targets the order to load new weights, while it holds the lock for orders.
 type Orderer struct {
 	opts        OrdererOptions
-	plans       map[string]*rollout.Plan     // by service and model
-	reports     map[string]TargetReport      // of targets that are out, by ID
+	plans       map[string]*rollout.Plan  // by service and model
+	reports     map[string]TargetReport   // of targets that are out, by ID
+	missed      map[string]*missedReports // by ID of targets that are out and do not report
+	inbox       *reportInbox
+	asking      map[string]bool              // targets that are being asked for a report, by ID
+	results     map[string]reportResult      // taken from the inbox and not looked at yet, by ID
 	published   map[string]time.Time         // targets that are out, by ID, with the time from which all instances know it
 	retired     map[string]retirement.Shares // by model
 	retirements []publishedRetirement        // oldest first; the first is the last one that all instances may be taken to know
@@ -97,7 +101,8 @@
 
 // begin forgets what an earlier tenure believed. The targets' reports tell how far they are.
 func (o *Orderer) begin() {
-	o.plans, o.reports = map[string]*rollout.Plan{}, map[string]TargetReport{}
+	o.plans, o.reports, o.missed = map[string]*rollout.Plan{}, map[string]TargetReport{}, map[string]*missedReports{}
+	o.inbox, o.asking, o.results = newReportInbox(), map[string]bool{}, map[string]reportResult{}
 	o.published, o.loaded, o.freed = map[string]time.Time{}, nil, time.Time{}
 	o.retired, o.retirements = o.opts.State.publishedRetirement(), nil
 	o.noteRetirement(time.Now())
@@ -181,32 +186,6 @@
 	return o.publishedAt.Add(time.Duration(o.opts.State.instanceCount()) * publishPerInstance)
 }
 
-// observe returns the targets of a group. Those that are out are asked; the others are known by their records.
-func (o *Orderer) observe(ctx context.Context, g engineGroup) []rollout.Target {
-	var list []rollout.Target
-	for id, t := range g.targets {
-		rt := rollout.Target{ID: id, Version: t.version(g.model)}
-		if _, out := o.published[id]; out && rt.Version < g.newest {
-			report, err := o.opts.Engines.Report(ctx, t.address)
-			if err != nil {
-				klog.InfoS("target that is to load weights does not report", "target", id, "err", err.Error())
-				rt.Busy = true // nothing can be told to it now
-			} else {
-				o.reports[id] = report
-				rt.Busy, rt.Idle = report.Busy, report.Running == 0
-				if v := report.Weights[g.model]; v > rt.Version {
-					rt.Version = v
-					t.learn(report.Weights)
-					o.loaded = append(o.loaded, loaded{Target: id, Born: g.born[id], Model: g.model, Version: v})
-					klog.InfoS("weights loaded", "target", id, "model", g.model, "version", v)
-				}
-			}
-		}
-		list = append(list, rt)
-	}
-	return list
-}
-
 // publish tells all instances which targets are out. The lock's revision is a condition, so that only its holder can.
 func (o *Orderer) publish(ctx context.Context, out []string, token uint64) bool {
 	raw, err := json.Marshal(loadState{Loading: out, Loaded: o.loaded, Retired: o.retired})
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -33,6 +33,7 @@
 	Version int  // weight version that it runs
 	Idle    bool // known to run nothing
 	Busy    bool // carrying out an order
+	Silent  bool // does not answer; known of targets that are out only
 }
 
 // phase is how far a target has come.
@@ -88,7 +89,15 @@
 	}
 	most := max(int(float64(len(targets))*p.opts.LoadShare), 1)
 	waiting := int(math.Ceil(float64(len(targets)) * p.opts.DrainShare))
-	p.admit(old, most+waiting, now)
+	// Silent targets give their places to others. There are only so many such places, since all of them may be silent
+	// towards the owner of orders alone.
+	silent := 0
+	for id := range p.out {
+		if byID[id].Silent {
+			silent++
+		}
+	}
+	p.admit(old, most+waiting+min(silent, waiting), now)
 	return p.step(byID, most, now)
 }
 
@@ -136,7 +145,7 @@
 	for _, id := range byAge {
 		pr, t := p.out[id], byID[id]
 		switch {
-		case t.Busy:
+		case t.Busy || t.Silent:
 		case pr.phase == loading:
 			if now.Sub(pr.ordered) >= p.opts.Retry {
 				s.Order = append(s.Order, id)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -118,3 +118,31 @@
 		t.Errorf("out %v, want none", s.Out)
 	}
 }
+
+// Pattern: a failure domain dies in the middle of a roll-out. The dead targets must not take the places of those that can
+// load, and a plan to which all are silent must not take all of them out of service.
+func TestSilentTargetsGiveTheirPlacesToOthers(t *testing.T) {
+	list := targets(12, 1)
+	p := New(Options{})
+	first := p.Next(list, 2, epoch)
+	for _, id := range first.Out[:2] {
+		list[slices.IndexFunc(list, func(tg Target) bool { return tg.ID == id })].Silent = true
+	}
+	second := p.Next(list, 2, epoch.Add(time.Second))
+	if len(second.Out) != len(first.Out)+2 {
+		t.Errorf("%d targets out with two silent ones, want %d", len(second.Out), len(first.Out)+2)
+	}
+	for _, id := range second.Order {
+		if slices.Contains(first.Out[:2], id) {
+			t.Errorf("silent target %s is told to load", id)
+		}
+	}
+	for i := range list {
+		list[i].Silent = true
+	}
+	for i := range 100 {
+		if s := p.Next(list, 2, epoch.Add(time.Duration(i)*time.Second)); len(s.Out) > len(list)/2 {
+			t.Fatalf("%d of %d targets out, all silent", len(s.Out), len(list))
+		}
+	}
+}
