--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -45,8 +45,8 @@
 	lapseGrace = 1800 * time.Millisecond
 	// sendMargin is left of the platform's bounds for the way of a request to its target, a new connection included.
 	sendMargin = 300 * time.Millisecond
-	// awaitMost is how long a request waits for fresh metadata: dozens of round trips to the store, and less than the shortest
-	// latency objective of the platform's sheets, 300 ms.
+	// awaitMost is how long a request waits for fresh metadata: dozens of round trips to the store. Requests of the platform's
+	// shortest latency objective, 120 ms, are late after it, but reach no target that has left.
 	awaitMost = 200 * time.Millisecond
 	// lapseHeartbeats is how many heartbeats of the targets an outage of the store must last before a record can lapse in it:
 	// records lapse after three, and may have been written one before the outage.
