--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,11 +100,12 @@
 	deadline  time.Time // by which the caller must have a final answer
 	ctx       context.Context
 
-	urgency int     // rank among the requests of the service, 0 is the most urgent
-	prompt  *prompt // nil for plain services
-	fetched string  // store that the last shared part was fetched from, empty for none
-	cache   string  // where cached parts were to come from, for the log
-	tries   []try
+	urgency  int       // rank among the requests of the service, 0 is the most urgent
+	prompt   *prompt   // nil for plain services
+	fetched  string    // store that the last shared part was fetched from, empty for none
+	forecast *forecast // nil if none was made
+	cache    string    // where cached parts were to come from, for the log
+	tries    []try
 	// lastResort: the target of the last choice has said that it leaves, and no other could serve.
 	lastResort bool
 	failure    *failedAnswer // of the last target, while another is tried
@@ -186,5 +187,5 @@
 		revision = rq.view.revision
 	}
 	klog.InfoS("request", "id", rq.call.ID, "route", route, "workspace", workspace, "outcome", rq.outcome, "status", rq.status,
-		"took", took, "first", first, "cache", rq.cache, "tries", describeTries(rq.tries, rq.arrived), "revision", revision)
+		"took", took, "first", first, "cache", rq.cache, "forecast", rq.forecast, "tries", describeTries(rq.tries, rq.arrived), "revision", revision)
 }
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -33,6 +33,15 @@
 	return time.Duration(max(over, 0) * float64(t.stats.MeanRun()))
 }
 
+// forecast is what the first token at the chosen target was expected to wait for, for the log.
+type forecast struct {
+	Backlog  int     `json:"backlog"` // prompt tokens that the target reads before
+	Read     int     `json:"read"`    // tokens of the prompt that it must read
+	Held     int     `json:"held"`    // tokens of the requests there
+	MemoryMs float64 `json:"memory_ms"`
+	FirstMs  float64 `json:"first_ms"` // all in all
+}
+
 // overloaded returns an error if even the best target would answer too late.
 func (rq *request) overloaded(choice *routing.Choice) error {
 	if rq.service.Engine == nil || len(rq.tries) > 0 || rq.lastEvent > 0 {
@@ -42,8 +51,11 @@
 	if t.stats.OwnHeld() == 0 {
 		return nil // its answers keep what is known of the target up to date
 	}
-	predicted := rq.service.prefill.Reading(rq.backlog(t)+rq.prompt.toRead(t.id, rq.call.PromptTotal)) +
-		rq.memoryWait(t)
+	read, memory := rq.prompt.toRead(t.id, rq.call.PromptTotal), rq.memoryWait(t)
+	predicted := rq.service.prefill.Reading(rq.backlog(t)+read) + memory
+	rq.forecast = &forecast{
+		Backlog: rq.backlog(t), Read: read, Held: t.stats.Held(), MemoryMs: milliseconds(memory), FirstMs: milliseconds(predicted),
+	}
 	verdict := overload.Decide(overload.Request{
 		Predicted: predicted, Objective: rq.route.Objective, Left: rq.left(time.Now()), Rank: rq.route.Priority,
 	}, rq.rng)
