Delegates sum up the loads of a large fleet

Cause: each instance told each other one its work in turns, so with 68 instances a message was up to 0.67 s old, and with 100 or more older than the second for which it counts: targets were chosen by what had ended.

Change: beyond 16 instances each tells two delegates of its failure domain every 100 ms; one of these tells the delegates of the other domains the sum of its domain, and its own domain the sum of all. The second speaks once the first was silent for half a second. Strains of stores count once, notices of leaving targets travel along. Long messages go in pieces.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -23,6 +23,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/bootclock"
+	"github.com/egrethoist/egrethoist/internal/delegate"
 	"github.com/egrethoist/egrethoist/internal/gateway"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/roster"
@@ -149,6 +150,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	self := delegate.Member{Name: p.settings.Name, Domain: p.settings.FailureDomain, Address: p.peerAddress()}
 	presence := &metastore.Presence{Store: p.store, Key: gateway.InstancePrefix + p.settings.Name, Value: in}
 	p.group.add(p.mirror.Run)
 	p.group.add(presence.Run)
@@ -158,7 +160,7 @@
 	orderer := gateway.NewOrderer(gateway.OrdererOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Keeper: p.keeper})
 	p.group.add((&gateway.NamingRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add(p.keeper.Run)
-	p.group.add(gateway.NewGossip(p.state, p.keeper, p.settings.Name, p.peerAddress()).Run)
+	p.group.add(gateway.NewGossip(p.state, p.keeper, self).Run)
 	p.group.add(orderer.Run)
 	p.group.add(p.reload)
 	if err := p.listen(); err != nil {
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -2,47 +2,59 @@
 
 import (
 	"context"
+	"math"
 	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"github.com/egrethoist/egrethoist/internal/delegate"
 	"github.com/egrethoist/egrethoist/internal/loadshare"
 	"github.com/egrethoist/egrethoist/internal/routing"
 )
 
 const (
-	// gossipLeast is the shortest time between two messages of an instance: a first token takes about as long.
-	gossipLeast = 100 * time.Millisecond
-	// gossipPerPeer is the time between messages for each other instance, so that the messages that an instance
-	// receives stay at a hundred a second.
-	gossipPerPeer = 10 * time.Millisecond
-	// gossipFresh is how long an instance's last message holds.
+	// gossipFresh is how long an instance's last message holds while all tell all, treeFresh while delegates sum up: some
+	// periods of either.
 	gossipFresh = time.Second
+	treeFresh   = 500 * time.Millisecond
 	// maxDatagram is the size up to which a message travels in one piece.
 	maxDatagram = 1400
 )
 
 // Gossip tells the other instances what this one has sent to which target, how its fetches from stores went and which targets
-// told it that they leave, and takes in what they tell. Datagrams carry the whole state of targets at a steady rate; a lost one is made good by the next.
+// told it that they leave, and takes in what they tell. Datagrams carry the whole state of targets at a steady rate; a lost
+// one is made good by the next.
 type Gossip struct {
-	state   *State
-	keeper  *Keeper
-	address string
-	self    uint64
-	table   *loadshare.Table
+	state  *State
+	keeper *Keeper
+	self   delegate.Member
+	sender uint64
+	direct *loadshare.Table  // of all instances, in a small fleet
+	tree   *loadshare.Tables // in a large one
+	plan   atomic.Pointer[loadshare.Plan]
+	told   []loadshare.Load // this instance's work as last told
+
+	mu sync.Mutex // guards the rest
+	// fetches collects what hubs pass on of fetches since their last message: each is to count once.
+	fetches struct{ domain, others loadshare.Sum }
 }
 
-// NewGossip returns a gossip on a UDP address.
-func NewGossip(state *State, keeper *Keeper, name, address string) *Gossip {
-	return &Gossip{state: state, keeper: keeper, address: address, self: xxhash.Sum64String(name), table: loadshare.NewTable(gossipFresh)}
+// NewGossip returns a gossip of an instance on its UDP address.
+func NewGossip(state *State, keeper *Keeper, self delegate.Member) *Gossip {
+	return &Gossip{
+		state: state, keeper: keeper, self: self, sender: loadshare.SenderOf(self.Name),
+		direct: loadshare.NewTable(gossipFresh), tree: loadshare.NewTables(treeFresh),
+	}
 }
 
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	local, err := net.ResolveUDPAddr("udp4", g.address)
+	local, err := net.ResolveUDPAddr("udp4", g.self.Address)
 	if err != nil {
 		return trace.Wrap(err, "address for load messages")
 	}
@@ -53,10 +65,11 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
+	g.makePlan()
 	go g.receive(conn)
 	// Messages of an earlier life of this process must count as older.
 	number := uint64(time.Now().UnixNano())
-	timer := time.NewTimer(gossipLeast)
+	timer := time.NewTimer(g.plan.Load().Period)
 	defer timer.Stop()
 	for {
 		select {
@@ -64,11 +77,79 @@
 			return ctx.Err()
 		case <-timer.C:
 		}
-		peers := g.state.Peers()
+		plan, instances := g.makePlan()
 		number++
-		g.send(conn, peers, number)
-		g.apply(len(peers), time.Now())
-		timer.Reset(max(gossipLeast, time.Duration(len(peers))*gossipPerPeer))
+		g.tell(conn, plan, instances, number, time.Now())
+		timer.Reset(plan.Period)
+	}
+}
+
+// makePlan returns the plan for the present instances, and their number.
+func (g *Gossip) makePlan() (*loadshare.Plan, int) {
+	members := g.state.Members()
+	plan, before := loadshare.MakePlan(g.self, members), g.plan.Load()
+	if before == nil || before.Direct != plan.Direct || before.Hub != plan.Hub {
+		klog.InfoS("load messages", "instances", len(members), "direct", plan.Direct, "hub", plan.Hub, "period", plan.Period)
+	}
+	g.plan.Store(&plan)
+	return &plan, len(members)
+}
+
+// tell sends what the plan says and takes over what the others told.
+func (g *Gossip) tell(conn *net.UDPConn, plan *loadshare.Plan, instances int, number uint64, now time.Time) {
+	message := &loadshare.Message{
+		Sender: g.sender, Number: number, Members: 1, Fetches: g.keeper.unsentFetches(), Leaving: g.state.leavingToTell(now), Loads: g.own(),
+	}
+	send(conn, plan.Own, message)
+	switch {
+	case plan.Direct:
+		all := g.direct.All(now)
+		g.apply(all.Loads, all.Members+1, instances)
+	case plan.Hub:
+		g.tellSums(conn, plan, instances, message, now)
+	default:
+		total := g.tree.First(loadshare.Total, plan.Hubs, now)
+		if total == nil {
+			total = &loadshare.Sum{Members: 1} // nothing is known but the own work
+		}
+		g.apply(total.Without(g.told), total.Members, instances)
+	}
+	g.told = message.Loads
+}
+
+// tellSums sends the sums of the domain and of all instances, if no other hub does.
+func (g *Gossip) tellSums(conn *net.UDPConn, plan *loadshare.Plan, instances int, own *loadshare.Message, now time.Time) {
+	domain, total := g.tree.HubSums(plan, own.Sum(), now)
+	g.mu.Lock()
+	fromDomain := loadshare.Add(&g.fetches.domain, &loadshare.Sum{Fetches: own.Fetches})
+	fromAll := loadshare.Add(fromDomain, &g.fetches.others)
+	g.fetches.domain, g.fetches.others = loadshare.Sum{}, loadshare.Sum{}
+	g.mu.Unlock()
+	g.apply(total.Without(own.Loads), total.Members, instances)
+	if !g.tree.Speaks(plan, g.sender, now) {
+		return
+	}
+	send(conn, plan.HubsAt, sumMessage(loadshare.Domain, own, domain, fromDomain))
+	send(conn, plan.MatesAt, sumMessage(loadshare.Total, own, total, fromAll))
+}
+
+func sumMessage(kind loadshare.Kind, own *loadshare.Message, sum, fetches *loadshare.Sum) *loadshare.Message {
+	return &loadshare.Message{
+		Sender: own.Sender, Number: own.Number, Kind: kind, Members: uint16(min(sum.Members, math.MaxUint16)),
+		Fetches: fetches.Fetches, Leaving: sum.Leaving, Loads: sum.Loads,
+	}
+}
+
+func send(conn *net.UDPConn, to []string, message *loadshare.Message) {
+	pieces := message.Split(maxDatagram)
+	for _, peer := range to {
+		address, err := net.ResolveUDPAddr("udp4", peer)
+		if err != nil {
+			continue // the instance's record names no address that can be reached
+		}
+		for _, piece := range pieces {
+			_, _ = conn.WriteToUDP(piece, address) // lost messages are made good by the next
+		}
 	}
 }
 
@@ -84,27 +165,46 @@
 			klog.V(1).InfoS("load message dropped", "err", err.Error())
 			continue
 		}
-		now := time.Now()
-		if g.table.Take(message, now) {
-			g.keeper.fetchedByOthers(message.Fetches, now)
-			g.state.toldLeaving(message.Leaving, now)
-		}
+		g.take(message, time.Now())
 	}
 }
 
-func (g *Gossip) send(conn *net.UDPConn, peers []string, number uint64) {
-	message := (&loadshare.Message{Sender: g.self, Number: number, Fetches: g.keeper.unsentFetches(), Leaving: g.state.leavingToTell(time.Now()), Loads: g.own()}).Append(nil)
-	if len(message) > maxDatagram {
-		// Idle targets are not in it, so only an overload of many targets at once makes it longer. The kernel cuts it up.
-		klog.V(1).InfoS("long load message", "bytes", len(message))
+// take takes in a message or a piece of one.
+func (g *Gossip) take(m *loadshare.Message, now time.Time) {
+	plan := g.plan.Load()
+	table := g.tree[m.Kind]
+	if plan.Direct && m.Kind == loadshare.Own {
+		table = g.direct
 	}
-	for _, peer := range peers {
-		address, err := net.ResolveUDPAddr("udp4", peer)
-		if err != nil {
-			continue // the instance's record names no address that can be reached
+	g.state.toldLeaving(m.Leaving, now)
+	if !table.Take(m, now) || !g.counts(plan, m, now) {
+		return
+	}
+	g.keeper.fetchedByOthers(m.Fetches, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch m.Kind {
+	case loadshare.Own:
+		g.fetches.domain = *loadshare.Add(&g.fetches.domain, &loadshare.Sum{Fetches: m.Fetches})
+	case loadshare.Domain:
+		g.fetches.others = *loadshare.Add(&g.fetches.others, &loadshare.Sum{Fetches: m.Fetches})
+	}
+}
+
+// counts reports whether what a message tells of fetches has not come another way already.
+func (g *Gossip) counts(plan *loadshare.Plan, m *loadshare.Message, now time.Time) bool {
+	switch m.Kind {
+	case loadshare.Domain:
+		for _, hubs := range plan.Domains {
+			if slices.Contains(hubs, m.Sender) {
+				return g.tree.Prefers(loadshare.Domain, hubs, m.Sender, now)
+			}
 		}
-		_, _ = conn.WriteToUDP(message, address) // lost messages are made good by the next
+		return false
+	case loadshare.Total:
+		return !plan.Hub && g.tree.Prefers(loadshare.Total, plan.Hubs, m.Sender, now)
 	}
+	return true
 }
 
 // own returns this instance's work at each engine.
@@ -129,26 +229,35 @@
 	return out
 }
 
-// apply gives each target what the others tell of it.
-func (g *Gossip) apply(peers int, now time.Time) {
+// apply gives each target what the others do there. heard is the number of instances that it is the work of, this one included.
+func (g *Gossip) apply(loads []loadshare.Load, heard, instances int) {
 	v := g.state.current.Load()
 	if v == nil {
 		return
 	}
-	sums, heard := g.table.Sums(now)
-	scale := max(float64(peers+1)/float64(heard+1), 1)
+	scale := max(float64(instances)/float64(max(heard, 1)), 1)
+	byTarget := make(map[uint64]*routing.Others, len(loads))
+	for _, l := range loads {
+		o := byTarget[l.Target]
+		if o == nil {
+			o = &routing.Others{Scale: scale}
+			byTarget[l.Target] = o
+		}
+		u := min(int(l.Urgency), routing.Urgencies-1)
+		o.Pending[u] += int(l.Pending)
+		o.Held[u] += int(l.Held)
+	}
+	none := &routing.Others{Scale: scale}
 	for _, sv := range v.services {
 		if sv.Engine == nil {
 			continue
 		}
 		for _, t := range sv.order {
-			o := &routing.Others{Scale: scale}
-			for _, l := range sums[t.hash] {
-				u := min(int(l.Urgency), routing.Urgencies-1)
-				o.Pending[u] += int(l.Pending)
-				o.Held[u] += int(l.Held)
+			if o := byTarget[t.hash]; o != nil {
+				t.stats.SetOthers(o)
+			} else {
+				t.stats.SetOthers(none)
 			}
-			t.stats.SetOthers(o)
 		}
 	}
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -29,16 +30,31 @@
 type Message struct {
 	Sender  uint64 // hash of the instance's name
 	Number  uint64 // grows with each message of a process
+	Kind    Kind
+	Members uint16 // instances whose work it tells
+	Piece   uint8  // of a message that is sent in several, which all have its number
+	Pieces  uint8
 	Fetches []Fetches
 	Leaving []uint64 // incarnations of targets that told the sender that they leave
 	Loads   []Load
 }
 
+// Kind is whose work a message tells.
+type Kind uint8
+
+// Kinds of messages.
 const (
-	version = 3
+	Own    Kind = iota // of the sender
+	Domain             // of all instances of the sender's failure domain
+	Total              // of all instances
+	numKinds
+)
+
+const (
+	version = 4
 	// maxListed is the number of stores, and of leaving targets, that one message tells of.
 	maxListed    = 255
-	headerBytes  = 19
+	headerBytes  = 24
 	fetchesBytes = 11
 	leavingBytes = 8
 )
@@ -52,7 +68,9 @@
 	b = append(b, version)
 	b = binary.BigEndian.AppendUint64(b, m.Sender)
 	b = binary.BigEndian.AppendUint64(b, m.Number)
-	b = append(b, uint8(len(fetches)), uint8(len(leaving)))
+	b = append(b, uint8(m.Kind))
+	b = binary.BigEndian.AppendUint16(b, m.Members)
+	b = append(b, m.Piece, max(m.Pieces, 1), uint8(len(fetches)), uint8(len(leaving)))
 	for _, f := range fetches {
 		b = binary.BigEndian.AppendUint64(b, f.Store)
 		b = append(b, f.Count)
@@ -75,7 +93,13 @@
 	if len(b) < headerBytes || b[0] != version {
 		return nil, errMalformed
 	}
-	m := &Message{Sender: binary.BigEndian.Uint64(b[1:]), Number: binary.BigEndian.Uint64(b[9:])}
+	m := &Message{
+		Sender: binary.BigEndian.Uint64(b[1:]), Number: binary.BigEndian.Uint64(b[9:]), Kind: Kind(b[17]),
+		Members: binary.BigEndian.Uint16(b[18:]), Piece: b[20], Pieces: b[21],
+	}
+	if m.Kind >= numKinds || m.Piece >= m.Pieces {
+		return nil, errMalformed
+	}
 	stores, leaving := int(b[headerBytes-2]), int(b[headerBytes-1])
 	b = b[headerBytes:]
 	if len(b) < stores*fetchesBytes+leaving*leavingBytes {
@@ -109,25 +133,30 @@
 	return m, nil
 }
 
-// Table holds the last message of each instance. It is safe for concurrent use.
+// Table holds the last message of each sender. It is safe for concurrent use.
 type Table struct {
 	mu    sync.Mutex
 	fresh time.Duration
 	peers map[uint64]*peer
 }
 
+// peer is the last whole message of a sender, and the pieces of the next one.
 type peer struct {
 	number uint64
 	at     time.Time
-	loads  []Load
+	sum    *Sum
+
+	next    uint64
+	pieces  int
+	arrived map[uint8]*Message
 }
 
-// NewTable returns a table that forgets an instance that was not heard of for fresh.
+// NewTable returns a table that forgets a sender that was not heard of for fresh.
 func NewTable(fresh time.Duration) *Table {
 	return &Table{fresh: fresh, peers: map[uint64]*peer{}}
 }
 
-// Take takes in a message. It returns false if a newer one was taken in before.
+// Take takes in a message. It returns true if it is whole now and no newer one was taken in before.
 func (t *Table) Take(m *Message, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -135,23 +164,49 @@
 	if p != nil && m.Number <= p.number && now.Sub(p.at) < t.fresh {
 		return false
 	}
-	t.peers[m.Sender] = &peer{number: m.Number, at: now, loads: m.Loads}
+	if p == nil || now.Sub(p.at) >= t.fresh && p.sum != nil {
+		p = &peer{at: now}
+		t.peers[m.Sender] = p
+	}
+	if m.Pieces > 1 && !p.collect(m) {
+		return false
+	}
+	sum := m.Sum()
+	for i := uint8(0); i < m.Pieces && m.Pieces > 1; i++ {
+		if i != m.Piece {
+			rest := p.arrived[i]
+			sum.Loads = append(slices.Clip(sum.Loads), rest.Loads...)
+			sum.Fetches, sum.Leaving = append(sum.Fetches, rest.Fetches...), append(sum.Leaving, rest.Leaving...)
+		}
+	}
+	p.number, p.at, p.sum, p.arrived = m.Number, now, sum, nil
 	return true
 }
 
-// Sums returns the work of all instances heard of lately, by target, and their number.
-func (t *Table) Sums(now time.Time) (map[uint64][]Load, int) {
+// collect takes in a piece and reports whether all of its message are there. Pieces of an older one are given up.
+func (p *peer) collect(m *Message) bool {
+	if p.arrived == nil || m.Number > p.next {
+		p.next, p.arrived = m.Number, map[uint8]*Message{}
+	}
+	if m.Number == p.next {
+		p.arrived[m.Piece] = m
+	}
+	return m.Number == p.next && len(p.arrived) == int(m.Pieces)
+}
+
+// All returns the last messages of all senders heard of lately, put together.
+func (t *Table) All(now time.Time) *Sum {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sums := map[uint64][]Load{}
-	for name, p := range t.peers {
+	var list []*Sum
+	for sender, p := range t.peers {
 		if now.Sub(p.at) >= t.fresh {
-			delete(t.peers, name)
+			delete(t.peers, sender)
 			continue
 		}
-		for _, l := range p.loads {
-			sums[l.Target] = append(sums[l.Target], l)
+		if p.sum != nil {
+			list = append(list, p.sum)
 		}
 	}
-	return sums, len(t.peers)
+	return Add(list...)
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -28,7 +28,7 @@
 			}
 		})).Draw(t, "fetches")
 		leaving := rapid.SliceOf(rapid.Uint64()).Draw(t, "leaving")
-		m := Message{Sender: 7, Number: 9, Fetches: fetches, Leaving: leaving, Loads: loads}
+		m := Message{Sender: 7, Number: 9, Kind: Total, Members: 68, Pieces: 1, Fetches: fetches, Leaving: leaving, Loads: loads}
 		b := m.Append(nil)
 		got, err := Parse(b)
 		if err != nil || got.Sender != 7 || got.Number != 9 || !slices.Equal(got.Loads, loads) || !slices.Equal(got.Fetches, fetches) ||
@@ -42,25 +42,20 @@
 
 func TestTable(t *testing.T) {
 	table := NewTable(time.Second)
-	table.Take(&Message{Sender: 1, Number: 5, Loads: []Load{{Target: 9, Pending: 100}}}, epoch)
+	table.Take(&Message{Sender: 1, Number: 5, Members: 1, Loads: []Load{{Target: 9, Pending: 100}}}, epoch)
 	if table.Take(&Message{Sender: 1, Number: 4, Loads: []Load{{Target: 9, Pending: 900}}}, epoch) {
 		t.Error("message taken in that was overtaken on the way")
 	}
-	table.Take(&Message{Sender: 2, Number: 1, Loads: []Load{{Target: 9, Pending: 10}}}, epoch)
-	sums, heard := table.Sums(epoch)
-	total := uint32(0)
-	for _, l := range sums[9] {
-		total += l.Pending
+	table.Take(&Message{Sender: 2, Number: 1, Members: 1, Loads: []Load{{Target: 9, Pending: 10}}}, epoch)
+	if all := table.All(epoch); all.Members != 2 || len(all.Loads) != 1 || all.Loads[0].Pending != 110 {
+		t.Errorf("%d instances, work %v; want 2 and 110 tokens at one target", all.Members, all.Loads)
 	}
-	if heard != 2 || total != 110 {
-		t.Errorf("%d instances, %d tokens; want 2 and 110", heard, total)
-	}
-	if _, heard := table.Sums(epoch.Add(time.Second)); heard != 0 {
-		t.Errorf("%d instances heard of after a second of silence", heard)
+	if all := table.All(epoch.Add(time.Second)); all.Members != 0 {
+		t.Errorf("%d instances heard of after a second of silence", all.Members)
 	}
 	// A process that starts anew counts its messages from the beginning.
-	table.Take(&Message{Sender: 1, Number: 1}, epoch.Add(2*time.Second))
-	if _, heard := table.Sums(epoch.Add(2 * time.Second)); heard != 1 {
+	table.Take(&Message{Sender: 1, Number: 1, Members: 1}, epoch.Add(2*time.Second))
+	if all := table.All(epoch.Add(2 * time.Second)); all.Members != 1 {
 		t.Error("a restarted instance is not heard of")
 	}
 }
