Admission decides by the work of all instances, also at targets where this one has no request

Cause: a request was admitted without any forecast at a target where this instance had no request of its own.

Change: overload takes a target for idle only if no instance has a request there, by what the instances tell each other. TestLargeFleetAtHighLoad plays the load without network: 0.4 at most in time by the own requests alone.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -48,9 +48,6 @@
 		return nil // what runs already goes on
 	}
 	t := rq.service.targets[choice.Best().Candidate.Target]
-	if !t.stats.HoldsOwn() {
-		return nil // its answers keep what is known of the target up to date
-	}
 	read, memory := rq.prompt.toRead(t.id, rq.call.PromptTotal), rq.memoryWait(t)
 	predicted := rq.service.prefill.Reading(rq.backlog(t)+read) + memory
 	rq.forecast = &forecast{
@@ -58,6 +55,7 @@
 	}
 	verdict := overload.Decide(overload.Request{
 		Predicted: predicted, Objective: rq.route.Objective, Left: rq.left(time.Now()), Rank: rq.route.Priority,
+		Idle: t.stats.Held(routing.Urgencies-1) == 0,
 	}, rq.rng)
 	if verdict.Admit {
 		return nil
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -26,6 +26,7 @@
 	Objective time.Duration // latency that callers of the route should see
 	Left      time.Duration // until the caller gives up
 	Rank      int           // priority of the route; 0 is the most urgent
+	Idle      bool          // no instance has a request at the target
 }
 
 // Verdict is the decision.
@@ -34,8 +35,12 @@
 	RetryAfter time.Duration // if refused
 }
 
-// Decide admits a request if its first token can be expected in useful time.
+// Decide admits a request if its first token can be expected in useful time. An idle target always gets one, whatever was
+// learned of it: its answer keeps what is known up to date.
 func Decide(r Request, rng *rand.Rand) Verdict {
+	if r.Idle {
+		return Verdict{Admit: true}
+	}
 	share := max(waitShare-rankShare*float64(r.Rank), leastShare)
 	limit := min(time.Duration(share*float64(r.Objective)), r.Left)
 	if r.Predicted <= limit {
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -86,3 +86,68 @@
 		t.Errorf("in time %.2f, late %.2f, refused %.2f; want 0.7 in time and none late", bounded, late, refused)
 	}
 }
+
+// Pattern: a large fleet at high load. Each of 68 instances has a request at few of the targets only, so one that decides by
+// its own requests alone, and takes a target where it has none for idle, admits nearly all and every queue grows. What the
+// instances tell each other is what must count.
+func TestLargeFleetAtHighLoad(t *testing.T) {
+	const (
+		instances, targets = 68, 20
+		perSecond          = 400.0
+		read               = 4600 * time.Second / 70_000 // tokens, and tokens a second
+		objective          = 600 * time.Millisecond
+		patience           = 12 * time.Second
+		length             = 20 * time.Second
+	)
+	play := func(idle func(own, all int) bool) (inTime, late, refused float64) {
+		r := rand.New(rand.NewPCG(3, 4))
+		type sent struct {
+			instance int
+			end      time.Duration
+		}
+		queues := make([][]sent, targets)
+		n := 0.0
+		for at := time.Duration(0); at < length; at += time.Duration(float64(time.Second) / perSecond) {
+			n++
+			from, to := r.IntN(instances), r.IntN(targets)
+			q := queues[to]
+			for len(q) > 0 && q[0].end <= at {
+				q = q[1:]
+			}
+			own, begin := 0, at
+			for _, s := range q {
+				begin = s.end
+				if s.instance == from {
+					own++
+				}
+			}
+			predicted := begin + read - at
+			if Decide(Request{Predicted: predicted, Objective: objective, Left: patience, Rank: 1, Idle: idle(own, len(q))}, r).Admit {
+				q = append(q, sent{from, begin + read})
+				if predicted <= objective {
+					inTime++
+				} else {
+					late++
+				}
+			} else {
+				refused++
+			}
+			queues[to] = q
+		}
+		return inTime / n, late / n, refused / n
+	}
+	alone, _, _ := play(func(own, _ int) bool { return own == 0 })
+	inTime, late, refused := play(func(_, all int) bool { return all == 0 })
+	if alone > 0.4 {
+		t.Errorf("%.2f in time by the own requests alone: the load does not show the pattern", alone)
+	}
+	if inTime < 0.7 || late > 0 {
+		t.Errorf("in time %.2f, late %.2f, refused %.2f; want 0.7 in time and none late", inTime, late, refused)
+	}
+}
+
+func TestIdleTargetIsAlwaysAsked(t *testing.T) {
+	if !Decide(Request{Predicted: time.Hour, Objective: time.Second, Left: time.Second, Idle: true}, rng()).Admit {
+		t.Error("an idle target gets nothing, so nothing is ever learned of it")
+	}
+}
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -100,16 +100,6 @@
 	return int(max(s.held[clampUrgency(urgency)].Load(), 0))
 }
 
-// HoldsOwn reports whether requests of this entry are at the target that have not ended.
-func (s *Stats) HoldsOwn() bool {
-	for u := range Urgencies {
-		if s.OwnHeld(u) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Pending estimates the prompt tokens of all entries that the target reads before a request of the urgency.
 func (s *Stats) Pending(urgency int) int {
 	others := s.others.Load()
