Long prompts are not refused for their own reading

Cause: a request was admitted if its wait and the reading of its own prompt together took less than its rank's part of the objective.

Change: overload takes off the reading first, and a rank gets its part of what is left, at least 0.3 of the objective.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -49,16 +49,16 @@
 	}
 	t := rq.service.targets[choice.Best().Candidate.Target]
 	read, memory := rq.prompt.toRead(t.id, rq.call.PromptTotal), rq.memoryWait(t)
-	predicted := rq.service.prefill.Reading(rq.backlog(t)+read) + memory
+	wait, reading := rq.service.prefill.Reading(rq.backlog(t))+memory, rq.service.prefill.Reading(read)
 	rq.forecast = &forecast{
-		Backlog: rq.backlog(t), Read: read, Held: t.stats.Held(rq.urgency), MemoryMs: milliseconds(memory), FirstMs: milliseconds(predicted),
+		Backlog: rq.backlog(t), Read: read, Held: t.stats.Held(rq.urgency), MemoryMs: milliseconds(memory), FirstMs: milliseconds(wait + reading),
 	}
 	verdict := overload.Decide(overload.Request{
-		Predicted: predicted, Objective: rq.route.Objective, Left: rq.left(time.Now()), Rank: rq.route.Priority,
+		Wait: wait, Reading: reading, Objective: rq.route.Objective, Left: rq.left(time.Now()), Rank: rq.route.Priority,
 		Idle: t.stats.Held(routing.Urgencies-1) == 0,
 	}, rq.rng)
 	if verdict.Admit {
 		return nil
 	}
-	return &overloadError{predicted: predicted, retryAfter: verdict.RetryAfter}
+	return &overloadError{predicted: wait + reading, retryAfter: verdict.RetryAfter}
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// waitShare is the part of the latency objective that the predicted first token of the most urgent requests may take.
+	// waitShare is the part of the latency objective, less the time to read the request's own prompt, that the most urgent
+	// requests may wait.
 	waitShare = 1.0
+	// longShare is the part of the objective that any request may wait: long prompts, whose own reading leaves little of it,
+	// are not to be the only ones that are refused.
+	longShare = 0.3
 	// rankShare is taken off for each rank below, so that less urgent requests give way first.
 	rankShare = 0.25
 	// leastShare bounds what is taken off.
@@ -22,7 +26,8 @@
 
 // Request is what a decision is made from.
 type Request struct {
-	Predicted time.Duration // expected time to the first token at the best target
+	Wait      time.Duration // expected until the best target begins to read the prompt
+	Reading   time.Duration // expected for the prompt itself
 	Objective time.Duration // latency that callers of the route should see
 	Left      time.Duration // until the caller gives up
 	Rank      int           // priority of the route; 0 is the most urgent
@@ -42,11 +47,12 @@
 		return Verdict{Admit: true}
 	}
 	share := max(waitShare-rankShare*float64(r.Rank), leastShare)
-	limit := min(time.Duration(share*float64(r.Objective)), r.Left)
-	if r.Predicted <= limit {
+	limit := max(time.Duration(share*float64(r.Objective-r.Reading)), time.Duration(longShare*float64(r.Objective)))
+	limit = min(limit, r.Left-r.Reading)
+	if r.Wait <= limit {
 		return Verdict{Admit: true}
 	}
 	// By then the queue has shrunk to what is admitted. The random part spreads the returns over as long again.
-	over := min(max(r.Predicted-limit, leastRetry), mostRetry)
+	over := min(max(r.Wait-limit, leastRetry), mostRetry)
 	return Verdict{RetryAfter: over + time.Duration(rng.Int64N(int64(over)))}
 }
