--- a/internal/egretctl/egretctl.go
+++ b/internal/egretctl/egretctl.go
@@ -59,6 +59,7 @@
 	tls     mtls.Options
 	dir     string   // keys
 	roles   []string // keys
+	logs    []string // rereads
 	ips     []string // keys
 
 	removeUndrained bool
@@ -120,6 +121,8 @@
 	keys.AddPositionalValue(&c.name, "NAME", 2, true, "instance that the key is for")
 	keys.StringSlice(&c.roles, "", "role", "entry, sidecar, operator, platform or store; may be repeated")
 	keys.StringSlice(&c.ips, "", "ip", "IP number by which peers dial it; may be repeated")
+	logs := add("rereads", "tell from gateways' logs why shared parts of prompts were read again", c.rereads)
+	logs.StringSlice(&c.logs, "", "log", "log of one or more gateways; may be repeated")
 	for _, s := range []*flaggy.Subcommand{
 		add("drain", "take a failure-domain or target out", func(ctx context.Context) error { return c.setDrained(ctx, true) }),
 		add("return", "bring a failure-domain or target back", func(ctx context.Context) error { return c.setDrained(ctx, false) }),
