--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,21 +81,21 @@
 	Engines
 	notice Notice
 	born   int64
-	asked  int
+	asked  atomic.Int64
 }
 
 func (e *noticeEngines) Report(context.Context, string) (TargetReport, error) {
-	e.asked++
+	e.asked.Add(1)
 	return TargetReport{Notice: e.notice, Born: e.born}, errors.New("refused")
 }
 
 func (e *noticeEngines) StoreEvents(context.Context, string, uint64, time.Duration) (StoreEvents, error) {
-	e.asked++
+	e.asked.Add(1)
 	return StoreEvents{Notice: e.notice, Born: e.born}, errors.New("refused")
 }
 
 func (e *noticeEngines) LoadWeights(context.Context, string, WeightsOrder) (OrderResult, error) {
-	e.asked++
+	e.asked.Add(1)
 	return OrderResult{Notice: e.notice}, nil
 }
 
@@ -117,8 +118,8 @@
 			if got := m.targets["a"].stats.Leaving(); got != c.leaving {
 				t.Errorf("%s: leaving %v after a reading, want %v", c.name, got, c.leaving)
 			}
-			if c.leaving && engines.asked != 1 {
-				t.Errorf("%s: read %d times within the pause", c.name, engines.asked)
+			if c.leaving && engines.asked.Load() != 1 {
+				t.Errorf("%s: read %d times within the pause", c.name, engines.asked.Load())
 			}
 			cancel()
 			synctest.Wait()
@@ -137,15 +138,15 @@
 		o.published = map[string]time.Time{"a": {}, "b": {}}
 		for range 5 {
 			for _, observed := range o.observe(t.Context(), g) {
-				if engines.asked >= 2 && !observed.Silent && m.targets[observed.ID].stats.PauseLeft(time.Now()) > 0 {
+				if engines.asked.Load() >= 2 && !observed.Silent && m.targets[observed.ID].stats.PauseLeft(time.Now()) > 0 {
 					t.Errorf("target %s keeps its place while it pauses", observed.ID)
 				}
 			}
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}
-		if engines.asked != 2 {
-			t.Errorf("%d reports asked for, want one of each target", engines.asked)
+		if engines.asked.Load() != 2 {
+			t.Errorf("%d reports asked for, want one of each target", engines.asked.Load())
 		}
 	})
 }
@@ -163,11 +164,16 @@
 			t.Errorf("%d pauses in a row, want %d", got, pause.Repeated)
 		}
 		m.after(500 * time.Millisecond)
-		if !m.notices.paused["s"] {
+		paused := func() bool {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.notices.paused["s"]
+		}
+		if !paused() {
 			t.Error("a service without a target that wants work is not reported")
 		}
 		m.after(time.Second)
-		if m.notices.paused["s"] {
+		if paused() {
 			t.Error("reported on after the pause")
 		}
 		m.observeNotice(target, Notice{}, 0, time.Now())
