Instances tell what rate limits their targets name

Change: the adapter decodes the field, and each change of what an instance believes of it leaves a line and counts. Nothing is decided by it yet. Text that is no rate neither names nor ends a limit. Measured: unit tests of the reading and of the observations (latest answer, end by degrees, silence) pass.

--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -8,18 +8,22 @@
 
 	"github.com/egrethoist/egrethoist/internal/departure"
 	"github.com/egrethoist/egrethoist/internal/pause"
+	"github.com/egrethoist/egrethoist/internal/targetlimit"
 )
 
 // notices is what targets announced in their answers, with its metrics. Its parts are safe for concurrent use.
 type notices struct {
 	departures *departure.Notices
 	pauses     *pause.Book
+	limits     *targetlimit.Book
 	paused     map[string]bool // services all of whose targets pause; guarded by the lock of State
 
 	leaving tally.Counter // targets that announced that they leave
 	asked   tally.Counter // pauses asked for
 	kept    tally.Counter // pauses asked for again and again without a served request between them
 	none    tally.Gauge   // services without a target that wants work
+	named   tally.Counter // answers that named a limit
+	limited tally.Gauge   // targets whose rate is limited
 }
 
 func newNotices(s tally.Scope) notices {
@@ -27,9 +31,9 @@
 		s = tally.NoopScope
 	}
 	return notices{
-		departures: departure.New(), pauses: pause.NewBook(), paused: map[string]bool{},
+		departures: departure.New(), pauses: pause.NewBook(), limits: targetlimit.NewBook(), paused: map[string]bool{},
 		leaving: s.Counter("targets_said_leaving"), asked: s.Counter("target_pauses"), kept: s.Counter("target_pauses_repeated"),
-		none: s.Gauge("services_paused"),
+		none: s.Gauge("services_paused"), named: s.Counter("target_limits_named"), limited: s.Gauge("targets_limited"),
 	}
 }
 
@@ -41,6 +45,7 @@
 	if n.Leaving {
 		s.observeLeaving(t, now)
 	}
+	s.observeLimit(t.meter, n.Limit, now)
 	switch {
 	case n.Pause > 0:
 		s.observePause(t, n.Pause, now)
@@ -107,16 +112,24 @@
 	if until := s.notices.pauses.Until(t.incarnation); !until.IsZero() {
 		t.stats.Pause(until)
 	}
+	if known := s.notices.limits.Known(t.incarnation); !known.At.IsZero() {
+		t.meter.limit.Store(&known)
+	}
 }
 
-// watchPauses reports services that pauses leave without a target, and their return.
-func (s *State) watchPauses(now time.Time) {
+// watchNotices reports services that pauses leave without a target, and their return, and counts the targets that name limits.
+func (s *State) watchNotices(now time.Time) {
 	v := s.current.Load()
 	if v == nil {
 		return
 	}
-	count := 0
+	count, limited := 0, 0
 	for name, sv := range v.services {
+		for _, t := range sv.order {
+			if _, ok := t.meter.rate(now); ok {
+				limited++
+			}
+		}
 		paused := sv.allPaused(now)
 		if paused {
 			count++
@@ -127,6 +140,7 @@
 		}
 	}
 	s.notices.none.Update(float64(count))
+	s.notices.limited.Update(float64(limited))
 }
 
 // allPaused reports whether the service has targets and all of them pause.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -49,8 +49,25 @@
 type Notice struct {
 	Leaving bool          // it leaves, whatever its record says
 	Pause   time.Duration // it wants nothing from this instance for so long; zero: no wish
+	Limit   RateLimit
 }
 
+// RateLimit is what an answer says of the rate that the target takes. The zero value: there was no answer.
+type RateLimit struct {
+	Kind      RateLimitKind
+	PerSecond float64 // requests from all instances together, if a limit is named
+}
+
+// RateLimitKind tells what an answer says of a limit.
+type RateLimitKind uint8
+
+// Kinds of RateLimit.
+const (
+	RateUnknown RateLimitKind = iota // no answer, or a limit that is no number: what was known holds on
+	RateOpen                         // the answer names no limit
+	RateLimited
+)
+
 // Reply is what the headers of a target's answer say.
 type Reply struct {
 	Notice
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -160,7 +160,7 @@
 	for _, t := range s.targets {
 		t.pool.Prune(now)
 	}
-	s.watchPauses(now)
+	s.watchNotices(now)
 }
 
 func (s *State) readOwn(items map[string]metastore.Item, now time.Time) {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -30,6 +30,7 @@
 	id, address, domain string // never change
 	born                int64  // start in Unix milliseconds, zero if unknown; never changes
 	incarnation         departure.Incarnation
+	meter               *meter
 
 	hash     uint64
 	pool     *targetconn.Pool
@@ -51,6 +52,7 @@
 		id: t.ID, address: t.Address, domain: t.FailureDomain, born: t.Born, incarnation: departure.Of(t.ID, t.Address, t.Born), record: t, hash: xxhash.Sum64String(t.ID), pool: targetconn.NewPool(t.Address, connections),
 		stats: new(routing.Stats),
 	}
+	n.meter = newMeter(t.ID, n.incarnation)
 	n.stats.Report(routing.Load{Limit: t.Slots}) // nothing is known yet: taken as idle
 	n.learn(t.Weights)
 	return n
