--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -160,7 +160,7 @@
 	orderer := gateway.NewOrderer(gateway.OrdererOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Keeper: p.keeper})
 	p.group.add((&gateway.NamingRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add(p.keeper.Run)
-	p.group.add(gateway.NewGossip(p.state, p.keeper, self).Run)
+	p.group.add(gateway.NewGossip(gateway.GossipOptions{State: p.state, Keeper: p.keeper, Self: self}).Run)
 	p.group.add(orderer.Run)
 	p.group.add(p.reload)
 	if err := p.listen(); err != nil {
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -26,6 +26,14 @@
 	maxDatagram = 1400
 )
 
+// GossipOptions configure a Gossip.
+type GossipOptions struct {
+	State  *State
+	Keeper *Keeper
+	Self   delegate.Member
+	Listen func(address string) (net.PacketConn, error) // nil: UDP
+}
+
 // Gossip exchanges with the other instances which work each has sent to which target, how its fetches from stores went and
 // which targets announced that they leave. Datagrams carry the whole state of targets at a steady rate; a lost
 // one is made good by the next.
@@ -33,6 +41,7 @@
 	state  *State
 	keeper *Keeper
 	self   delegate.Member
+	listen func(address string) (net.PacketConn, error)
 	sender uint64
 	direct *loadshare.Table  // of all instances, in a small fleet
 	tree   *loadshare.Tables // in a large one
@@ -44,21 +53,20 @@
 	fetches struct{ domain, others loadshare.Sum }
 }
 
-// NewGossip returns a gossip of an instance on its UDP address.
-func NewGossip(state *State, keeper *Keeper, self delegate.Member) *Gossip {
+// NewGossip returns a gossip of an instance on its address.
+func NewGossip(o GossipOptions) *Gossip {
+	if o.Listen == nil {
+		o.Listen = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp4", address) }
+	}
 	return &Gossip{
-		state: state, keeper: keeper, self: self, sender: loadshare.SenderOf(self.Name),
+		state: o.State, keeper: o.Keeper, self: o.Self, listen: o.Listen, sender: loadshare.SenderOf(o.Self.Name),
 		direct: loadshare.NewTable(gossipFresh), tree: loadshare.NewTables(treeFresh),
 	}
 }
 
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	local, err := net.ResolveUDPAddr("udp4", g.self.Address)
-	if err != nil {
-		return trace.Wrap(err, "address for load messages")
-	}
-	conn, err := net.ListenUDP("udp4", local)
+	conn, err := g.listen(g.self.Address)
 	if err != nil {
 		return trace.Wrap(err, "listen for load messages")
 	}
@@ -96,7 +104,7 @@
 }
 
 // broadcast sends the messages of the plan and applies the others' work to the targets.
-func (g *Gossip) broadcast(conn *net.UDPConn, plan *loadshare.Plan, instances int, number uint64, now time.Time) {
+func (g *Gossip) broadcast(conn net.PacketConn, plan *loadshare.Plan, instances int, number uint64, now time.Time) {
 	message := &loadshare.Message{
 		Sender: g.sender, Number: number, Members: 1, Fetches: g.keeper.unsentFetches(), Leaving: g.state.leavingToAnnounce(now), Loads: g.own(),
 	}
@@ -118,7 +126,7 @@
 }
 
 // broadcastSums sends the sums of the domain and of all instances, if no other hub does.
-func (g *Gossip) broadcastSums(conn *net.UDPConn, plan *loadshare.Plan, instances int, own *loadshare.Message, now time.Time) {
+func (g *Gossip) broadcastSums(conn net.PacketConn, plan *loadshare.Plan, instances int, own *loadshare.Message, now time.Time) {
 	domain, total := g.tree.HubSums(plan, own.Sum(), now)
 	g.mu.Lock()
 	fromDomain := loadshare.Add(&g.fetches.domain, &loadshare.Sum{Fetches: own.Fetches})
@@ -140,7 +148,7 @@
 	}
 }
 
-func send(conn *net.UDPConn, to []string, message *loadshare.Message) {
+func send(conn net.PacketConn, to []string, message *loadshare.Message) {
 	pieces := message.Split(maxDatagram)
 	for _, peer := range to {
 		address, err := net.ResolveUDPAddr("udp4", peer)
@@ -148,15 +156,15 @@
 			continue // the instance's record names no address that can be reached
 		}
 		for _, piece := range pieces {
-			_, _ = conn.WriteToUDP(piece, address) // lost messages are made good by the next
+			_, _ = conn.WriteTo(piece, address) // lost messages are made good by the next
 		}
 	}
 }
 
-func (g *Gossip) receive(conn *net.UDPConn) {
+func (g *Gossip) receive(conn net.PacketConn) {
 	buffer := make([]byte, 1<<16)
 	for {
-		n, err := conn.Read(buffer)
+		n, _, err := conn.ReadFrom(buffer)
 		if err != nil {
 			return // closed at the end of Run
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -24,6 +24,7 @@
 	"github.com/egrethoist/egrethoist/internal/retry"
 	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/routing"
+	"github.com/egrethoist/egrethoist/internal/targetconn"
 )
 
 // view is what a request is decided by. It is immutable but for the counters that its parts point to.
@@ -71,7 +72,8 @@
 	WeightsTime time.Duration
 	// LastResort is how long after its notice a leaving target may still be chosen if no other can serve.
 	LastResort time.Duration
-	Metrics    tally.Scope // nil: nothing is counted
+	Metrics    tally.Scope     // nil: nothing is counted
+	Dial       targetconn.Dial // sets up connections to targets; nil: over TCP
 	// PrefillRate is the rate in tokens per second at which engines are taken to read prompts until it is learned.
 	PrefillRate float64
 }
@@ -361,7 +363,7 @@
 			if old != nil {
 				old.pool.Close()
 			}
-			s.targets[t.ID] = newTarget(t, s.connections(t.Service))
+			s.targets[t.ID] = newTarget(t, s.connections(t.Service), s.opts.Dial)
 			s.restoreNotices(s.targets[t.ID])
 			klog.InfoS("target appeared", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain, "cold", time.Until(t.ColdUntil),
 				"metadata", s.metadata)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -54,6 +54,8 @@
 	{"target leaves by its answers alone", 3, (*fleet).announceTarget},
 	{"target asks for pauses", 3, (*fleet).pauseTarget},
 	{"service asks for pauses", 1, (*fleet).pauseService},
+	{"target names a limit", 4, (*fleet).limitTarget},
+	{"service names limits", 2, (*fleet).limitService},
 	{"address used by another service", 2, (*fleet).reuseAddress},
 	{"target misbehaves", 5, (*fleet).moodTarget},
 	{"service misbehaves", 4, (*fleet).moodService},
@@ -368,8 +370,36 @@
 	p.target.SetMood(standin.Mood{})
 }
 
-// pauseService makes all targets of a service ask for pauses at once.
-func (f *fleet) pauseService(ctx context.Context, fl fault) {
+// mostLimit is the highest limit that targets name, in requests a second: fewer than they get without one.
+const mostLimit = 8
+
+// limitPlace makes a target name a limit for long enough that it can be judged. It is no disturbance: all promises hold.
+func (f *fleet) limitPlace(ctx context.Context, p *place, fl fault) {
+	const judged = 5 * time.Second
+	limit := max(mostLimit*(1.2*fl.share-0.2), 0) // one in six takes nothing
+	f.ledger.limited(p.target.ID(), limit)
+	p.target.Limit(limit)
+	_ = sleep.For(ctx, bounds.Contact+judged+fl.length) // the limit ends either way
+	p.target.EndLimit()
+	f.ledger.limitEnded(p.target.ID())
+}
+
+func (f *fleet) limitTarget(ctx context.Context, fl fault) {
+	p := f.take(fl, "")
+	if p == nil {
+		return
+	}
+	defer f.release(p)
+	f.limitPlace(ctx, p, fl)
+}
+
+// limitService makes all targets of a service name limits at once.
+func (f *fleet) limitService(ctx context.Context, fl fault) {
+	f.withService(fl, func(p *place) { f.limitPlace(ctx, p, fl) })
+}
+
+// withService runs a fault at all targets of a service side by side.
+func (f *fleet) withService(fl fault, change func(*place)) {
 	var all sync.WaitGroup
 	for range f.opts.Engines + 2*f.opts.Plain {
 		all.Go(func() {
@@ -378,14 +408,21 @@
 				return
 			}
 			defer f.release(p)
-			p.target.SetMood(pauseMood(fl))
-			_ = sleep.For(ctx, fl.length) // the mood ends either way
-			p.target.SetMood(standin.Mood{})
+			change(p)
 		})
 	}
 	all.Wait()
 }
 
+// pauseService makes all targets of a service ask for pauses at once.
+func (f *fleet) pauseService(ctx context.Context, fl fault) {
+	f.withService(fl, func(p *place) {
+		p.target.SetMood(pauseMood(fl))
+		_ = sleep.For(ctx, fl.length) // the mood ends either way
+		p.target.SetMood(standin.Mood{})
+	})
+}
+
 // replaceTargets makes several targets leave at about the same time and serve on for different times.
 func (f *fleet) replaceTargets(ctx context.Context, fl fault) {
 	var all sync.WaitGroup
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -65,7 +65,7 @@
 func newLedger(c *calm, w *history, b standin.Bounds) *ledger {
 	return &ledger{
 		calm: c, bounds: b, start: time.Now(), world: w, attempts: map[string]*attempt{}, orders: map[string]standin.Order{},
-		wishes: newWishes(), rules: map[string]int{},
+		wishes: newWishes(c, b), rules: map[string]int{},
 	}
 }
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -198,6 +198,14 @@
 			s.calm.note(processOf("front-0"), time.Now().Add(-time.Second), time.Now().Add(-time.Millisecond))
 			s.pauseAndSend("front-0", "t", 3)
 		}},
+		{"LIMIT", func(s *stage) { s.limitAndSend("front-0", "t", 12) }},
+		{"", func(s *stage) { s.limitAndSend("front-0", "t", 11) }}, // one and a half times what the limit allows, and five
+		{"", func(s *stage) { s.limitAndSend("front-0", "u", 12) }},
+		{"", func(s *stage) { s.limitAndSend("front-1", "t", 12) }},
+		{"", func(s *stage) { // restarted since
+			s.calm.note(processOf("front-0"), time.Now().Add(100*time.Millisecond), time.Now().Add(200*time.Millisecond))
+			s.limitAndSend("front-0", "t", 12)
+		}},
 		{"FAILBACK", func(s *stage) {
 			for i := range 50 {
 				r := s.run(s.ask("plan", string(rune('a'+i))), "t")
@@ -237,6 +245,23 @@
 	}
 }
 
+// limitAndSend makes target t name a limit of one request a second to an instance, and sends requests to a target later.
+func (s *stage) limitAndSend(instance, target string, n int) {
+	a := s.ask("book", "0")
+	a.instance = instance
+	s.execute(s.run(a, "t"))
+	s.Answered(standin.Answer{ID: "0", Target: "t", Stamp: stamp, Status: 200})
+	s.wishes.limits.Named("t", 1, time.Now().Add(-2*bounds.Contact))
+	r := reply(a, 200)
+	r.Limited = true
+	s.passedOn(a, r)
+	for i := range n {
+		run := s.run(s.ask("book", string(rune('a'+i))), target)
+		run.At = time.Now().Add(time.Second)
+		s.execute(run)
+	}
+}
+
 type testError string
 
 func (e testError) Error() string { return string(e) }
--- a/internal/soak/wishes.go
+++ b/internal/soak/wishes.go
@@ -10,6 +10,7 @@
 type wishes struct {
 	leaving map[pair]time.Time // when the instance first passed on an answer that said so
 	pauses  map[pair][]pauseWish
+	limits  standin.LimitJudge
 }
 
 // pair is an instance and a target.
@@ -21,8 +22,27 @@
 	arrivals  int
 }
 
-func newWishes() *wishes {
-	return &wishes{leaving: map[pair]time.Time{}, pauses: map[pair][]pauseWish{}}
+func newWishes(c *calm, b standin.Bounds) *wishes {
+	w := &wishes{leaving: map[pair]time.Time{}, pauses: map[pair][]pauseWish{}}
+	w.limits.Contact = b.Contact
+	w.limits.Excused = func(instance string, from, to time.Time) bool {
+		return !c.quiet(from, to, processOf(instance), stopOf(instance))
+	}
+	return w
+}
+
+// limited notes that a target names a limit from now on.
+func (l *ledger) limited(target string, perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wishes.limits.Named(target, perSecond, time.Now())
+}
+
+// limitEnded notes that a target names no limit any more.
+func (l *ledger) limitEnded(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wishes.limits.Ended(target)
 }
 
 const (
@@ -37,7 +57,7 @@
 
 // passedOn notes the head of an answer that a caller got.
 func (l *ledger) passedOn(a *attempt, reply standin.Reply) {
-	if !reply.Leaving {
+	if !reply.Leaving && !reply.Limited {
 		return
 	}
 	l.mu.Lock()
@@ -46,6 +66,12 @@
 		if answer.Stamp != reply.Stamp {
 			continue
 		}
+		if reply.Limited {
+			l.wishes.limits.Told(a.instance, answer.Target, time.Now())
+		}
+		if !reply.Leaving {
+			continue
+		}
 		key := pair{a.instance, answer.Target}
 		if _, known := l.wishes.leaving[key]; !known || !l.calm.quiet(l.wishes.leaving[key], time.Now(), processOf(a.instance), stopOf(a.instance)) {
 			l.wishes.leaving[key] = time.Now()
@@ -75,6 +101,10 @@
 	if since, ok := l.wishes.leaving[key]; ok && a.sent.After(since.Add(l.bounds.Drain)) && undisturbed(since) {
 		l.broken("DRAIN", "request %s, sent %v after %s passed on that %s leaves, reaches it from there", a.call.ID, a.sent.Sub(since), a.instance, r.Target)
 	}
+	if got, allowed, over := l.wishes.limits.Arrived(a.instance, r.Target, r.At); over {
+		l.broken("LIMIT", "%d requests reach %s in 4 s from instances that it told its limit, the last one, %s, from %s; allowed %d", got, r.Target,
+			a.call.ID, a.instance, allowed)
+	}
 	pauses := l.wishes.pauses[key]
 	for i := range pauses {
 		p := &pauses[i]
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -31,6 +31,7 @@
 // Pool holds the connections to one target.
 type Pool struct {
 	address string
+	dial    Dial
 	limit   int
 
 	mu   sync.Mutex
@@ -39,9 +40,16 @@
 	shut bool
 }
 
-// NewPool returns a pool of at most limit connections to address, IP:port.
-func NewPool(address string, limit int) *Pool {
-	return &Pool{address: address, limit: max(limit, 1)}
+// Dial sets up a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewPool returns a pool of at most limit connections to address, IP:port. dial sets them up; nil: over TCP, so that a silent
+// peer is noticed.
+func NewPool(address string, limit int, dial Dial) *Pool {
+	if dial == nil {
+		dial = tcp.Dialer(connectTimeout).DialContext
+	}
+	return &Pool{address: address, dial: dial, limit: max(limit, 1)}
 }
 
 // SetLimit changes the number of connections; those over it end when their request does.
@@ -69,7 +77,7 @@
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx)
+			return p.connect(ctx)
 		}
 		if now.Sub(c.idleSince) < c.idleLimit && c.reader.Buffered() == 0 && quiet(c.Conn) {
 			return c, nil
@@ -94,8 +102,8 @@
 	return nil, nil
 }
 
-func (p *Pool) dial(ctx context.Context) (*Conn, error) {
-	conn, err := tcp.Dialer(connectTimeout).DialContext(ctx, "tcp4", p.address)
+func (p *Pool) connect(ctx context.Context) (*Conn, error) {
+	conn, err := p.dial(ctx, "tcp4", p.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -72,7 +72,7 @@
 			}
 		}
 	})
-	p := NewPool(address, 5)
+	p := NewPool(address, 5, nil)
 	for range 3 {
 		if got := exchange(t, p, get("/a")); got != "ok" {
 			t.Fatalf("answer %q", got)
@@ -85,7 +85,7 @@
 
 func TestLimitOfConnections(t *testing.T) {
 	address := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
-	p := NewPool(address, 1)
+	p := NewPool(address, 1, nil)
 	if _, err := p.Get(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 			select {} // never reads the body
 		}
 	})
-	p := NewPool(address, 5)
+	p := NewPool(address, 5, nil)
 	long := &Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 64<<20))}
 	if got := exchange(t, p, long); got != "ok" {
 		t.Fatalf("answer %q", got)
@@ -131,7 +131,7 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf")
 		}
 	})
-	conn, err := NewPool(address, 1).Get(t.Context())
+	conn, err := NewPool(address, 1, nil).Get(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -156,7 +156,7 @@
 		_, _ = r.ReadByte()
 		close(closed)
 	})
-	conn, err := NewPool(address, 1).Get(t.Context())
+	conn, err := NewPool(address, 1, nil).Get(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,7 +181,7 @@
 			}
 		}
 	})
-	p := NewPool(address, 1)
+	p := NewPool(address, 1, nil)
 	exchange(t, p, get("/"))
 	c, err := p.Get(t.Context())
 	if err != nil {
