Contradictory pieces of a load message end no process

Cause: pieces of one message were counted without a look at how many each of them says there are. Three datagrams of one sender and number, two with three pieces and one with six, made the table take the message for whole and read a piece that was not there: nil dereference in the receiving goroutine, the whole process ends. One wrong or hostile datagram was enough on a port that takes datagrams from anywhere. Change: pieces count only with those that agree in their number.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -162,6 +162,7 @@
 	sum    *Sum
 
 	next    uint64
+	pieces  uint8
 	arrived map[uint8]*Message
 }
 
@@ -201,12 +202,13 @@
 // collect takes in a piece and reports whether all of its message are there. Pieces of an older one are given up.
 func (p *peer) collect(m *Message) bool {
 	if p.arrived == nil || m.Number > p.next {
-		p.next, p.arrived = m.Number, map[uint8]*Message{}
+		p.next, p.pieces, p.arrived = m.Number, m.Pieces, map[uint8]*Message{}
 	}
-	if m.Number == p.next {
-		p.arrived[m.Piece] = m
+	if m.Number != p.next || m.Pieces != p.pieces {
+		return false
 	}
-	return m.Number == p.next && len(p.arrived) == int(m.Pieces)
+	p.arrived[m.Piece] = m
+	return len(p.arrived) == int(p.pieces)
 }
 
 // All returns the last messages of all senders heard of lately, put together.
