A limit that was forgotten ends with the next answer without one

Cause: the book drops a limit of which nothing was heard for an hour, the target's meter keeps it; the next answer without a limit was no news to the book, so the instance would have held the target to it until it named another. Found on reading. Measured: TestForgottenLimitEndsWithTheNextAnswer failed before.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -27,7 +27,11 @@
 }
 
 func (m *meter) learn(known targetlimit.Observation, heard string) {
-	m.limit.Store(&known)
+	if known.At.IsZero() {
+		m.limit.Store(nil)
+	} else {
+		m.limit.Store(&known)
+	}
 	klog.InfoS("limit of a target changed", "target", m.name, "named", known.Named, "per_second", known.PerSecond, "heard", heard)
 }
 
--- a/internal/targetlimit/observation.go
+++ b/internal/targetlimit/observation.go
@@ -116,14 +116,14 @@
 func NewBook() *Book { return &Book{entries: map[departure.Incarnation]*entry{}} }
 
 // Observe takes in an answer of a target to this instance that names a limit, or none. It returns what is known now, and whether
-// that is news.
+// that may be news. Callers that know of no limit need not ask about answers without one.
 func (b *Book) Observe(i departure.Incarnation, named bool, perSecond float64, now time.Time) (Observation, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.entries[i]
 	if e == nil {
 		if !named {
-			return Observation{}, false
+			return Observation{}, true // what the caller may still know was forgotten here
 		}
 		e = &entry{}
 		b.entries[i] = e
