Orders do not wait behind reports at targets that name limits

Cause, by the logs: all engines named 6.2 requests a second when new weights were named. Change: orders and other calls have a period of their own, a quarter of the rate each. A test holds the readings of a kept-cache store to its limit.

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -81,6 +81,7 @@
 	Engines
 	notice Notice
 	born   int64
+	reads  bool // readings succeed
 	asked  atomic.Int64
 }
 
@@ -91,9 +92,17 @@
 
 func (e *noticeEngines) StoreEvents(context.Context, string, uint64, time.Duration) (StoreEvents, error) {
 	e.asked.Add(1)
+	if e.reads {
+		return StoreEvents{Notice: e.notice, Epoch: 1}, nil
+	}
 	return StoreEvents{Notice: e.notice, Born: e.born}, errors.New("refused")
 }
 
+func (e *noticeEngines) StoreParts(context.Context, string) (StoreParts, error) {
+	e.asked.Add(1)
+	return StoreParts{Notice: e.notice, Epoch: 1}, nil
+}
+
 func (e *noticeEngines) LoadWeights(context.Context, string, WeightsOrder) (OrderResult, error) {
 	e.asked.Add(1)
 	return OrderResult{Notice: e.notice}, nil
@@ -194,6 +203,28 @@
 	})
 }
 
+// Readings of a kept-cache store that names a limit keep within it, and what is known of the store is not given up for that.
+func TestReadingsOfAStoreKeepWithinItsLimit(t *testing.T) {
+	for _, c := range []struct {
+		limit RateLimit
+		most  int64
+	}{{RateLimit{Kind: RateLimited}, 15}, {RateLimit{Kind: RateOpen}, 1000}} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMirroredState(t, "a")
+			engines := &noticeEngines{notice: Notice{Limit: c.limit}, reads: true}
+			keeper := NewKeeper(m.State, engines, nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			go keeper.read(ctx, catalog.Store{Name: "kept", Address: "10.0.0.9:80"})
+			m.after(40 * time.Second)
+			if got := engines.asked.Load(); got > c.most || got < 5 {
+				t.Errorf("%+v: read %d times in 40 s, want at most %d", c.limit, got, c.most)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 // Pattern: a target that answers requests now and then but asks for pause after pause, while its record stays in place.
 // Pauses in a row are counted until a request is answered, and a service that they empty is reported.
 func TestPausesThatEmptyAServiceAreSeen(t *testing.T) {
--- a/internal/targetlimit/grants.go
+++ b/internal/targetlimit/grants.go
@@ -28,8 +28,9 @@
 	handOver = time.Second
 	// controlDebt is how many calls of the control plane, such as orders, are granted ahead of the rate.
 	controlDebt = 2
-	// controlShare is the part of the rate that such calls get at most, controlPeriod the longest time between two of them.
-	controlShare  = 0.5
+	// controlShare is the part of the rate that orders get at most, and other such calls as well; controlPeriod is the longest time
+	// between two of either.
+	controlShare  = 0.25
 	controlPeriod = 2 * time.Second
 	// lowerShare is the least part of the grants for requests while more urgent ones are denied: one in so many.
 	lowerShare = 10
@@ -117,7 +118,7 @@
 	rate    float64
 	tokens  float64
 	filled  time.Time
-	control time.Time        // last call of the control plane
+	control [2]time.Time     // last order, and last other call of the control plane
 	unmet   [Ranks]time.Time // last denial of each rank
 	inRow   int              // grants since the last one of a request that had to yield
 }
@@ -144,7 +145,7 @@
 	}
 	b.fill(rate, now)
 	if a.Control {
-		return b.takeControl(a.Role, now)
+		return b.takeControl(a.Role, a.Rank, now)
 	}
 	return b.take(min(max(a.Rank, 0), Ranks-1), now)
 }
@@ -203,19 +204,21 @@
 	return false
 }
 
-func (b *bucket) takeControl(r Role, now time.Time) (bool, time.Duration) {
+// takeControl grants a call of the control plane. The most urgent ones, orders, do not wait behind the reports that precede them.
+func (b *bucket) takeControl(r Role, rank int, now time.Time) (bool, time.Duration) {
 	debt := 0.0
 	if r == Owner {
 		debt = controlDebt
 	}
 	period := min(time.Duration(float64(time.Second)/(b.rate*controlShare)), controlPeriod)
-	if wait := period - now.Sub(b.control); wait > 0 && !b.control.IsZero() {
+	last := &b.control[min(rank, 1)]
+	if wait := period - now.Sub(*last); wait > 0 && !last.IsZero() {
 		return false, wait
 	}
 	if b.tokens < 1-debt {
 		return false, b.until(1 - debt)
 	}
 	b.tokens--
-	b.control = now
+	*last = now
 	return true, 0
 }
--- a/internal/targetlimit/grants_test.go
+++ b/internal/targetlimit/grants_test.go
@@ -243,3 +243,28 @@
 		t.Errorf("%v a minute later", got)
 	}
 }
+
+// Soak seed 9112: a look at a target that is to load weights asks for its report and then gives the order. Where the target names a limit, the
+// report took the only call of the control plane each time, and the order came after the limit had ended.
+func TestOrdersAreNotStarvedByReports(t *testing.T) {
+	for _, c := range []struct {
+		rate float64
+		most time.Duration
+	}{{floorRate, 10 * time.Second}, {1, 4 * time.Second}, {6, 2 * time.Second}} {
+		g := NewGrants()
+		ordered := time.Duration(-1)
+		for d := time.Duration(0); d < 20*time.Second && ordered < 0; d += 10 * time.Millisecond {
+			now := start.Add(d)
+			g.Take(Ask{PerSecond: c.rate, Role: Owner}, now)
+			if d%(150*time.Millisecond) == 0 {
+				g.Take(Ask{PerSecond: c.rate, Role: Owner, Control: true, Rank: Ranks - 1}, now)
+				if ok, _ := g.Take(Ask{PerSecond: c.rate, Role: Owner, Control: true}, now); ok {
+					ordered = d
+				}
+			}
+		}
+		if ordered < 0 || ordered > c.most {
+			t.Errorf("%v a second: ordered after %v, want %v at most", c.rate, ordered, c.most)
+		}
+	}
+}
