--- a/internal/orders/reconcile.go
+++ b/internal/orders/reconcile.go
@@ -83,10 +83,10 @@
 	defaultRetryAfter  = 10 * time.Second
 )
 
-// fencingToken returns the fencing token of all orders under one revision. It needs no write to the key-value service:
+// orderFence returns the fencing token of all orders under one revision. It needs no write to the key-value service:
 // two sidecars that act under the same revision send the same orders, which lead to the same state in any sequence, and
 // a sidecar with an earlier revision sends a lower token.
-func (d Desired) fencingToken() uint64 { return d.Revision }
+func (d Desired) orderFence() uint64 { return d.Revision }
 
 // Reconciler plans the orders of one target. It is not safe for concurrent use.
 type Reconciler struct {
@@ -135,7 +135,7 @@
 // planLoad plans the load of the desired version. Where the engine fits two versions the old one serves meanwhile.
 // Otherwise the target is drained first, and only while it holds a slot, so that few targets are drained at a time.
 func (r *Reconciler) planLoad(d Desired, o Observed, slot bool, now time.Time) Step {
-	order := engine.Order{Fence: d.fencingToken(), Action: engine.OrderLoadVersion, Version: d.Version}
+	order := engine.Order{Fence: d.orderFence(), Action: engine.OrderLoadVersion, Version: d.Version}
 	hasRoom := d.FitsTwoVersions || len(o.Report.Versions) == 0
 	switch {
 	case o.Report.Loading:
@@ -170,7 +170,7 @@
 		return Step{Kind: StepDrain, Drain: true}
 	}
 	s := r.planOrder(engine.Order{
-		Fence:   d.fencingToken(),
+		Fence:   d.orderFence(),
 		Action:  engine.OrderUnloadVersion,
 		Version: o.Report.Versions[0],
 	}, now)
@@ -181,7 +181,7 @@
 // setRoleAndUnload sets the role, and unloads each other version once no request is in flight on it.
 func (r *Reconciler) setRoleAndUnload(d Desired, o Observed, now time.Time) Step {
 	if d.Role != "" && o.Report.Role != d.Role {
-		return r.planOrder(engine.Order{Fence: d.fencingToken(), Action: engine.OrderSetRole, Role: d.Role}, now)
+		return r.planOrder(engine.Order{Fence: d.orderFence(), Action: engine.OrderSetRole, Role: d.Role}, now)
 	}
 	waiting := false
 	for _, version := range o.Report.Versions {
@@ -191,7 +191,7 @@
 			waiting = true
 		default:
 			return r.planOrder(engine.Order{
-				Fence:   d.fencingToken(),
+				Fence:   d.orderFence(),
 				Action:  engine.OrderUnloadVersion,
 				Version: version,
 			}, now)
