gateway: round Retry-After down

Callers saw a Retry-After of 0.667 s where they honor at most 666.666 ms: request.refuse wrote the drawn time with three decimals, rounded to the nearest millisecond, so a draw above 666.5 ms exceeded the bound by up to 0.5 ms. It is truncated now.

TestRetryAfterIsRoundedDown failed before (666.6ms was written as 0.667).

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -21,10 +21,16 @@
 
 // refuse ends a request that has not run and will not run, with status 503 and a Retry-After header.
 func (rq *request) refuse(reason string, retryAfter time.Duration) {
-	rq.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	rq.writer.Header().Set("Retry-After", formatRetryAfter(retryAfter))
 	rq.fail(http.StatusServiceUnavailable, reason)
 }
 
+// formatRetryAfter returns d in seconds with three decimals. It rounds down: a caller that is told to wait longer than the protocol
+// allows retries at a time of its own.
+func formatRetryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Truncate(time.Millisecond).Seconds(), 'f', 3, 64)
+}
+
 // reject ends a request that the configuration does not allow. One that a newer configuration may allow is refused, so that the
 // caller retries.
 func (rq *request) reject(r *rejection) {
