--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -148,9 +148,7 @@
 	}
 	s.quarantine.crashes.Inc(1)
 	klog.InfoS("target crashed", "target", t.id, "address", t.address, "suspects", partNames(suspects))
-	if len(suspects) > 0 {
-		s.quarantine.reportCrash(t, suspects, c.startedAt)
-	}
+	s.quarantine.reportCrash(t, suspects, c.startedAt)
 	_ = sleep.For(context.Background(), crashSettleTime)
 }
 
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -11,10 +11,11 @@
 // evaluate draws the conclusions from the evidence and returns what has changed.
 func (t *Tracker) evaluate(now time.Time) []Change {
 	t.forget(now)
-	next := &beliefs{suspects: map[Part]bool{}, members: map[Part]bool{}}
+	next := &beliefs{accused: map[Part]bool{}, suspects: map[Part]bool{}, members: map[Part]bool{}}
 	records := t.collect()
 	for _, r := range records {
-		if !r.sufficient() || next.members[r.part] || r.explained(records) {
+		next.accused[r.part] = true
+		if !r.sufficient(t.otherCrashes(r, records)) || next.members[r.part] || r.explained(records) {
 			continue
 		}
 		q := t.quarantineOf(r, records)
@@ -29,7 +30,7 @@
 		}
 	}
 	previous := t.current.Load()
-	if len(next.quarantines) == 0 && len(next.suspects) == 0 {
+	if len(records) == 0 {
 		next = nil
 	}
 	changes := compare(previous, next)
@@ -45,14 +46,11 @@
 	b := t.current.Load()
 	t.crashes = slices.DeleteFunc(t.crashes, func(e *evidence) bool {
 		age := now.Sub(e.at)
-		if age < suspicion {
-			return false
-		}
-		keep := b != nil && age < 2*maxQuarantine && slices.ContainsFunc(b.quarantines, func(q Quarantine) bool { return e.mentionsAll(q.Parts) })
-		return !keep
+		return age >= 2*maxQuarantine || age >= suspicion && !e.supports(b)
 	})
-	maps.DeleteFunc(t.clearedAt, func(p Part, at time.Time) bool { return now.Sub(at) > suspicion && !t.mentioned(p) })
-	maps.DeleteFunc(t.versions, func(p Part, _ int) bool { return !t.mentioned(p) })
+	mentioned := t.mentionedParts()
+	maps.DeleteFunc(t.clearedAt, func(p Part, at time.Time) bool { return now.Sub(at) > suspicion && !mentioned[p] })
+	maps.DeleteFunc(t.versions, func(p Part, _ int) bool { return !mentioned[p] })
 	maps.DeleteFunc(t.claims, func(_ Part, c claim) bool { return !now.Before(c.until) })
 }
 
@@ -123,16 +121,51 @@
 	}
 }
 
-// sufficient reports whether the evidence suffices for a quarantine.
-func (r *record) sufficient() bool {
+// sufficient reports whether the evidence suffices for a quarantine. others is the number of crashes at the time that the part has
+// nothing to do with: the more there are, the likelier the part was there by chance.
+func (r *record) sufficient(others int) bool {
+	if others >= unrelatedCrashes {
+		return r.strongCrashes > strongCrashes || r.allCrashes > anyCrashes
+	}
 	return r.strongCrashes >= strongCrashes || r.allCrashes >= anyCrashes
 }
 
+// otherCrashes returns the number of crashes about the time of those of the record that the part was not in and that no other part
+// with several crashes may explain. The records are sorted as collect returns them.
+func (t *Tracker) otherCrashes(r *record, records []*record) int {
+	if r.allCrashes < strongCrashes {
+		return 0
+	}
+	n, from := 0, t.crashes[r.all[0].crash].at.Add(-relatedTime)
+	for _, e := range t.crashes {
+		if _, ok := e.suspects[r.part]; ok || e.at.Before(from) || e.at.After(r.lastAll) {
+			continue
+		}
+		if !e.mayBeExplained(records) {
+			n++
+		}
+	}
+	return n
+}
+
+// mayBeExplained reports whether a suspect of the crash has several crashes.
+func (e *evidence) mayBeExplained(records []*record) bool {
+	for _, r := range records {
+		if r.strongCrashes < strongCrashes {
+			return false
+		}
+		if _, ok := e.suspects[r.part]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // explained reports whether another part with more crashes was a suspect in each of these.
 func (r *record) explained(records []*record) bool {
 	for _, id := range r.all {
 		found := slices.ContainsFunc(records, func(other *record) bool {
-			return other.strongCrashes >= r.strongCrashes && other.allCrashes > r.allCrashes && other.sufficient() &&
+			return other.strongCrashes >= r.strongCrashes && other.allCrashes > r.allCrashes && other.strongCrashes >= strongCrashes &&
 				slices.ContainsFunc(other.all, func(o mentionID) bool { return o.crash == id.crash })
 		})
 		if !found {
@@ -146,7 +179,7 @@
 func (t *Tracker) quarantineOf(r *record, records []*record) Quarantine {
 	q := Quarantine{Crashes: r.allCrashes, LastCrash: r.lastAll}
 	for _, other := range records {
-		if other.sufficient() && slices.Equal(r.all, other.all) {
+		if slices.Equal(r.all, other.all) {
 			q.Parts = append(q.Parts, other.part)
 			q.WeightVersion = max(q.WeightVersion, t.versions[other.part])
 		}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -107,10 +107,11 @@
 // Valid reports whether the part's names may be sent in a message.
 func (p Part) Valid() bool { return p.ID != "" && len(p.ID) <= maxPartID && len(p.Model) <= maxModel }
 
-// Report returns the crash as it is reported to other instances, in messages of bounded size.
+// Report returns the crash as it is reported to other instances, in messages of bounded size. A crash without suspects is reported as
+// well: it makes others less significant.
 func (c *Crash) Report(weights int, now time.Time) []Message {
 	var out []Message
-	for rest := c.Suspects; len(rest) > 0; {
+	for rest := c.Suspects; len(rest) > 0 || len(out) == 0; {
 		n := min(len(rest), suspectsPerMessage)
 		report := &CrashReport{Incarnation: c.Incarnation, AgeMs: ageMs(c.At, now), Weights: weights}
 		for _, s := range rest[:n] {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -22,6 +22,10 @@
 	// coincidence is the time within which several crashes count as one. Targets that crash together, such as those of a failure
 	// domain, have a common cause outside their requests.
 	coincidence = 100 * time.Millisecond
+	// unrelatedCrashes is the number of crashes without a part, from relatedTime before its first crash to its last one, from which one
+	// more crash is needed for its quarantine.
+	unrelatedCrashes = 3
+	relatedTime      = 2 * time.Second
 	// trust is how long an answer makes later evidence against its parts weak.
 	trust = time.Minute
 	// suspicion is how long a crash is kept as evidence if it leads to no quarantine.
@@ -36,9 +40,11 @@
 	// claimTTL is how long a probe may take: the time to the first token of a request under load.
 	claimTTL = 3 * time.Second
 	// maxCrashes, maxSuspects and maxRequests bound the evidence that is kept: crashes, parts of one crash, and requests with one part.
-	maxCrashes  = 256
-	maxSuspects = 64
+	maxCrashes  = 128
+	maxSuspects = 32
 	maxRequests = 8
+	// maxRestored bounds the crashes of a restored quarantine: more do not lengthen it.
+	maxRestored = 6
 )
 
 // Part identifies a part of the prompts for one model.
@@ -130,6 +136,7 @@
 
 // beliefs are the conclusions from the evidence. They are immutable.
 type beliefs struct {
+	accused     map[Part]bool // parts with any evidence that no answer has refuted
 	suspects    map[Part]bool
 	quarantines []Quarantine
 	members     map[Part]bool // of quarantines
@@ -145,7 +152,7 @@
 // suspicion.
 type Tracker struct {
 	served  servedTable
-	current atomic.Pointer[beliefs] // nil while no part is suspected or quarantined
+	current atomic.Pointer[beliefs] // nil while there is no evidence that is not refuted
 
 	mu        sync.Mutex
 	crashes   []*evidence // by time
@@ -168,6 +175,12 @@
 	requests []uint32 // with the part, sorted; the first maxRequests
 }
 
+// covers reports whether the mention has that of a suspect already.
+func (m mention) covers(s Suspect) bool {
+	_, found := slices.BinarySearch(m.requests, s.Request)
+	return !m.weak && s.Weak || m.weak == s.Weak && (found || len(m.requests) >= maxRequests)
+}
+
 // add returns the mention with that of a further suspect.
 func (m mention) add(s Suspect) mention {
 	if m.weak && !s.Weak {
@@ -295,23 +308,23 @@
 	for _, p := range parts {
 		t.served.record(p, now)
 	}
-	if t.current.Load() == nil {
+	b := t.current.Load()
+	if b == nil || !slices.ContainsFunc(parts, func(p Part) bool { return b.accused[p] }) {
 		return nil, nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b, cleared := t.current.Load(), false
 	for _, p := range parts {
-		if !t.mentioned(p) {
+		if !b.accused[p] {
 			continue
 		}
-		t.clearedAt[p], cleared = now, true
-		if b != nil && (b.suspects[p] || b.members[p]) {
+		t.clearedAt[p] = now
+		if b.suspects[p] || b.members[p] {
 			announce = append(announce, p)
 		}
 	}
-	if !cleared {
-		return nil, nil
+	if len(announce) == 0 {
+		return nil, nil // no belief depends on these parts yet
 	}
 	return announce, t.evaluate(now)
 }
@@ -327,11 +340,22 @@
 	return t.evaluate(now)
 }
 
-// mentioned reports whether there is any evidence against the part.
+// mentioned reports whether there is any evidence against the part, refuted or not.
 func (t *Tracker) mentioned(p Part) bool {
 	return slices.ContainsFunc(t.crashes, func(e *evidence) bool { _, ok := e.suspects[p]; return ok })
 }
 
+// mentionedParts returns the parts with evidence, refuted or not.
+func (t *Tracker) mentionedParts() map[Part]bool {
+	out := map[Part]bool{}
+	for _, e := range t.crashes {
+		for p := range e.suspects {
+			out[p] = true
+		}
+	}
+	return out
+}
+
 // LastServed returns when this instance last received a complete answer for the part, false if not lately.
 func (t *Tracker) LastServed(p Part, now time.Time) (time.Time, bool) {
 	at, ok := t.served.last(p, now)
@@ -343,13 +367,17 @@
 func (t *Tracker) LearnCrash(c Crash, weights int, now time.Time) (answered []Part, changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	count := len(t.crashes)
 	e := t.findOrAdd(c)
 	if e == nil {
 		return nil, nil
 	}
+	news := len(t.crashes) != count
 	for _, s := range c.Suspects {
 		m, known := e.suspects[s.Part]
 		switch {
+		case known && m.covers(s):
+			continue
 		case known:
 			e.suspects[s.Part] = m.add(s)
 		case len(e.suspects) < maxSuspects:
@@ -357,6 +385,7 @@
 		default:
 			continue
 		}
+		news = true
 		t.versions[s.Part] = max(t.versions[s.Part], weights)
 		vouched := s.ServedAt
 		if known := t.clearedAt[s.Part]; known.After(vouched) {
@@ -372,6 +401,9 @@
 			t.clearedAt[s.Part] = vouched
 		}
 	}
+	if !news {
+		return nil, nil
+	}
 	return answered, t.evaluate(now)
 }
 
@@ -382,11 +414,8 @@
 			return e
 		}
 	}
-	if len(t.crashes) >= maxCrashes {
-		if c.At.Before(t.crashes[0].at) {
-			return nil
-		}
-		t.crashes = slices.Delete(t.crashes, 0, 1)
+	if len(t.crashes) >= maxCrashes && !t.dropOldest(c.At) {
+		return nil
 	}
 	e := &evidence{incarnation: c.Incarnation, at: c.At, suspects: map[Part]mention{}}
 	i, _ := slices.BinarySearchFunc(t.crashes, e, func(a, b *evidence) int {
@@ -396,6 +425,21 @@
 	return e
 }
 
+// dropOldest drops the oldest crash that no quarantine rests on. It returns false if there is none from before the given time.
+func (t *Tracker) dropOldest(before time.Time) bool {
+	b := t.current.Load()
+	i := slices.IndexFunc(t.crashes, func(e *evidence) bool { return e.at.Before(before) && !e.supports(b) })
+	if i >= 0 {
+		t.crashes = slices.Delete(t.crashes, i, i+1)
+	}
+	return i >= 0
+}
+
+// supports reports whether the crash is evidence for any of the quarantines.
+func (e *evidence) supports(b *beliefs) bool {
+	return b != nil && slices.ContainsFunc(b.quarantines, func(q Quarantine) bool { return e.mentionsAll(q.Parts) })
+}
+
 // Restore adds a quarantine that was kept outside this process.
 func (t *Tracker) Restore(q Quarantine, now time.Time) []Change {
 	t.mu.Lock()
@@ -417,7 +461,7 @@
 		t.versions[p] = max(t.versions[p], q.WeightVersion)
 	}
 	base := hash(Part{ID: q.Key()})
-	for i := range min(q.Crashes, maxCrashes/8) - known {
+	for i := range min(q.Crashes, maxRestored) - known {
 		// The times of the earlier crashes are not kept: any that do not coincide will do.
 		e := t.findOrAdd(Crash{Incarnation: base + uint64(i), At: q.LastCrash.Add(-2 * coincidence * time.Duration(i))})
 		if e == nil {
