quarantine: a repeated claim must not replace that of a running probe

Claims and their ends are sent several times against loss; a repeated claim of a probe that had ended replaced the running one's, since the lower holder won, and its repeated end freed the part. Ended claims are remembered now, and a claim can lose only before its request is sent.

Also: the gateways keep quarantines and refused requests in the metadata store; egretctl quarantines and egretctl lift.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -164,6 +164,7 @@
 	p.group.add(lock.Run)
 	rollout := gateway.NewRolloutController(gateway.RolloutOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Cache: p.cacheTracker})
 	p.group.add((&gateway.VersionRecorder{State: p.state, Store: p.store}).Run)
+	p.group.add((&gateway.QuarantineRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add(p.cacheTracker.Run)
 	p.group.add(gateway.NewGossip(gateway.GossipOptions{State: p.state, Cache: p.cacheTracker, Self: self}).Run)
 	p.group.add(rollout.Run)
--- a/cmd/egretctl/main.go
+++ b/cmd/egretctl/main.go
@@ -6,17 +6,23 @@
 	"os"
 
 	"github.com/egrethoist/egrethoist/internal/egretctl"
+	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/mtls"
 	"github.com/egrethoist/egrethoist/internal/platform"
 	"github.com/egrethoist/egrethoist/internal/platform/rpc"
 	"github.com/egrethoist/egrethoist/internal/units"
+	usersplatform "github.com/egrethoist/egrethoist/platform"
 )
 
 func main() {
-	env := egretctl.Env{Stdout: os.Stdout, Stderr: os.Stderr, Dial: dial}
+	env := egretctl.Env{Stdout: os.Stdout, Stderr: os.Stderr, Dial: dial, DialStore: dialStore}
 	os.Exit(egretctl.Run(env, os.Args[1:]))
 }
 
+func dialStore(address units.Address) metastore.Store {
+	return usersplatform.NewStore(address.String())
+}
+
 func dial(address units.Address, keys *mtls.Options) (platform.KV, error) {
 	if keys == nil {
 		return rpc.NewClient(http.DefaultClient, "http://"+address.String()), nil
--- a/internal/egretctl/egretctl.go
+++ b/internal/egretctl/egretctl.go
@@ -16,6 +16,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/control"
 	"github.com/egrethoist/egrethoist/internal/manifest"
+	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/mtls"
 	"github.com/egrethoist/egrethoist/internal/platform"
 	"github.com/egrethoist/egrethoist/internal/units"
@@ -40,6 +41,8 @@
 	Stderr io.Writer
 	// Dial reaches the key-value service; without keys in plain HTTP.
 	Dial func(address units.Address, keys *mtls.Options) (platform.KV, error)
+	// DialStore reaches the metadata store of the users' platform.
+	DialStore func(address units.Address) metastore.Store
 }
 
 type command struct {
@@ -60,7 +63,12 @@
 	dir     string   // keys
 	roles   []string // keys
 	logs    []string // rereads
-	ips     []string // keys
+	store   string   // quarantines, lift
+	model   string   // lift
+	parts   string   // lift
+
+	metadataStore metastore.Store // quarantines, lift
+	ips           []string        // keys
 
 	removeUndrained bool
 	action          func(ctx context.Context) error
@@ -123,6 +131,12 @@
 	keys.StringSlice(&c.ips, "", "ip", "IP number by which peers dial it; may be repeated")
 	logs := add("rereads", "tell from gateways' logs why shared parts of prompts were read again", c.rereads)
 	logs.StringSlice(&c.logs, "", "log", "log of one or more gateways; may be repeated")
+	quarantines := add("quarantines", "list the parts of prompts that gateways refuse because they crash targets", c.quarantines)
+	quarantines.String(&c.store, "", "store", "IP:port of the platform's metadata store")
+	lift := add("lift", "end the quarantine of a part", c.lift)
+	lift.String(&c.store, "", "store", "IP:port of the platform's metadata store")
+	lift.String(&c.model, "", "model", "model of the part; needed if several models have it")
+	lift.AddPositionalValue(&c.parts, "PART", 1, true, "ID of the part, as listed; several that are listed as one are joined by +")
 	for _, s := range []*flaggy.Subcommand{
 		add("drain", "take a failure-domain or target out", func(ctx context.Context) error { return c.setDrained(ctx, true) }),
 		add("return", "bring a failure-domain or target back", func(ctx context.Context) error { return c.setDrained(ctx, false) }),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -69,6 +70,8 @@
 	refused  map[string]int    // refused requests by quarantine that are not in the metadata store yet
 	restored map[string]uint64 // revision by key of the records of the metadata store that were applied
 	records  map[string]quarantine.Record
+	// countedAt is when this instance last added its refused requests to a record.
+	countedAt map[string]time.Time
 }
 
 // inFlightCall is a request at a target whose answer has not begun.
@@ -89,7 +92,7 @@
 		state: s, tracker: quarantine.NewTracker(time.Now()), self: rand.Uint64() << 16,
 		crashes: m.Counter("target_crashes"), probes: m.Counter("quarantine_probes"), refusals: m.Counter("requests_refused_for_quarantine"),
 		suspected: m.Gauge("parts_suspected"), listed: m.Gauge("parts_quarantined"),
-		reported: map[uint64]bool{}, refused: map[string]int{}, restored: map[string]uint64{}, records: map[string]quarantine.Record{},
+		reported: map[uint64]bool{}, refused: map[string]int{}, restored: map[string]uint64{}, records: map[string]quarantine.Record{}, countedAt: map[string]time.Time{},
 	}
 }
 
@@ -180,7 +183,7 @@
 		return
 	}
 	q := rq.gateway.opts.State.quarantine
-	q.tracker.Release(rq.probe, rq.probeHolder)
+	q.tracker.Release(rq.probe, rq.probeHolder, time.Now())
 	q.send(quarantine.Message{Claim: &quarantine.ClaimMessage{Holder: rq.probeHolder, Parts: rq.probe, Released: true}})
 	rq.probe, rq.probeHolder = nil, 0
 }
@@ -270,7 +273,7 @@
 	switch c := m.Claim; {
 	case c == nil:
 	case c.Released:
-		q.tracker.Release(c.Parts, c.Holder)
+		q.tracker.Release(c.Parts, c.Holder, now)
 	default:
 		q.tracker.LearnClaim(c.Parts, c.Holder, now)
 	}
@@ -348,6 +351,7 @@
 		}
 		now := time.Now()
 		q.apply(q.tracker.Expire(now))
+		q.forget()
 		forOthers := rand.IntN(instances) == 0
 		for _, crash := range q.tracker.Evidence() {
 			q.mu.Lock()
@@ -365,6 +369,21 @@
 	}
 }
 
+// forget drops what refers to evidence and quarantines that are no more.
+func (q *quarantineService) forget() {
+	evidence, listed := map[uint64]bool{}, map[string]bool{}
+	for _, crash := range q.tracker.Evidence() {
+		evidence[crash.Incarnation] = true
+	}
+	for _, quarantined := range q.tracker.Quarantines() {
+		listed[quarantined.Key()] = true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	maps.DeleteFunc(q.reported, func(incarnation uint64, _ bool) bool { return !evidence[incarnation] })
+	maps.DeleteFunc(q.refused, func(key string, _ int) bool { return !listed[key] })
+}
+
 // apply logs changed beliefs, updates the metrics and cancels requests that must not run any more.
 func (q *quarantineService) apply(changes []quarantine.Change) {
 	if len(changes) == 0 {
@@ -427,6 +446,7 @@
 		if !present[key] {
 			delete(q.records, key)
 			delete(q.restored, key)
+			delete(q.countedAt, key)
 		}
 	}
 }
--- a/internal/quarantine/blame_test.go
+++ b/internal/quarantine/blame_test.go
@@ -256,8 +256,8 @@
 	}
 	probe, holder := r.probe, r.holder
 	r.probe = nil
-	s.trackers[r.gateway].Release(probe, holder)
-	s.tell(r.gateway, func(other *Tracker) { other.Release(probe, holder) })
+	s.trackers[r.gateway].Release(probe, holder, s.now)
+	s.tell(r.gateway, func(other *Tracker) { other.Release(probe, holder, s.now) })
 }
 
 // crash ends a target; its gateways report what it was answering and try the cut requests once more.
@@ -365,9 +365,7 @@
 				total.sound, total.refused, total.quarantined = total.sound+r.sound, total.refused+r.refused, total.quarantined+r.quarantined
 				total.ordinaryCrashes += r.ordinaryCrashes
 				most = max(most, r.mostCrashesPerPart)
-				for _, n := range r.deadlyCrashes {
-					total.deadlyCrashes = append(total.deadlyCrashes, n)
-				}
+				total.deadlyCrashes = append(total.deadlyCrashes, r.deadlyCrashes...)
 			}
 			t.Logf("%d sound requests, %d refused, %d sound parts quarantined; %d ordinary crashes; crashes of each deadly part %v",
 				total.sound, total.refused, total.quarantined, total.ordinaryCrashes, total.deadlyCrashes)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	upgradeDelay = 30 * time.Second
 	// claimTTL is how long a probe may take: the time to the first token of a request under load.
 	claimTTL = 3 * time.Second
+	// claimContest is how long a claim may lose against another one: its request has not been sent yet.
+	claimContest = 20 * time.Millisecond
 	// maxCrashes, maxSuspects and maxRequests bound the evidence that is kept: crashes, parts of one crash, and requests with one part.
 	maxCrashes  = 128
 	maxSuspects = 32
@@ -145,6 +148,7 @@
 // claim is the right to probe a part.
 type claim struct {
 	holder uint64
+	since  time.Time
 	until  time.Time
 }
 
@@ -158,6 +162,7 @@
 	crashes   []*evidence // by time
 	clearedAt map[Part]time.Time
 	claims    map[Part]claim
+	released  map[uint64]time.Time // by holder of an ended claim: messages may repeat the claim
 	versions  map[Part]int  // newest weight version on which a part was seen to crash
 	changed   chan struct{} // closed at the next change
 }
@@ -195,7 +200,7 @@
 
 // NewTracker returns a tracker without evidence. now is the time of its start.
 func NewTracker(now time.Time) *Tracker {
-	return &Tracker{served: servedTable{epoch: now}, clearedAt: map[Part]time.Time{}, claims: map[Part]claim{}, versions: map[Part]int{}, changed: make(chan struct{})}
+	return &Tracker{served: servedTable{epoch: now}, clearedAt: map[Part]time.Time{}, claims: map[Part]claim{}, released: map[uint64]time.Time{}, versions: map[Part]int{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a belief or a claim changes.
@@ -257,22 +262,25 @@
 		return false
 	}
 	for _, p := range parts {
-		t.claims[p] = claim{holder: holder, until: now.Add(claimTTL)}
+		t.claims[p] = claim{holder: holder, since: now, until: now.Add(claimTTL)}
 	}
 	t.notify()
 	return true
 }
 
-// LearnClaim records the claim of another instance. If two claim the same probe, the lower holder wins.
+// LearnClaim records the claim of another instance. If two claim the same probe at the same time, the lower holder wins.
 func (t *Tracker) LearnClaim(parts []Part, holder uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, ended := t.released[holder]; ended {
+		return
+	}
 	for _, p := range parts {
-		if c, ok := t.claims[p]; ok && c.holder < holder && now.Before(c.until) {
+		if c, ok := t.claims[p]; ok && now.Before(c.until) && (c.holder <= holder || now.Sub(c.since) > claimContest) {
 			continue
 		}
 		if len(t.claims) < maxCrashes*maxSuspects {
-			t.claims[p] = claim{holder: holder, until: now.Add(claimTTL)}
+			t.claims[p] = claim{holder: holder, since: now, until: now.Add(claimTTL)}
 		}
 	}
 	t.notify()
@@ -291,9 +299,13 @@
 }
 
 // Release ends the claims of a holder on the parts.
-func (t *Tracker) Release(parts []Part, holder uint64) {
+func (t *Tracker) Release(parts []Part, holder uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.released, func(_ uint64, at time.Time) bool { return now.Sub(at) > claimTTL })
+	if len(t.released) < maxCrashes*maxSuspects {
+		t.released[holder] = now
+	}
 	for _, p := range parts {
 		if t.claims[p].holder == holder {
 			delete(t.claims, p)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -90,7 +90,7 @@
 			"probed by another", []step{crash(crashOf(0, "x")), func(t *Tracker) { t.LearnClaim(parts("x"), 7, at(5)) }}, []string{"x"}, 20, 1, Wait,
 		},
 		{
-			"probed by another that has ended", []step{crash(crashOf(0, "x")), func(t *Tracker) { t.LearnClaim(parts("x"), 7, at(5)); t.Release(parts("x"), 7) }},
+			"probed by another that has ended", []step{crash(crashOf(0, "x")), func(t *Tracker) { t.LearnClaim(parts("x"), 7, at(5)); t.Release(parts("x"), 7, at(6)) }},
 			[]string{"x"}, 20, 1, Probe,
 		},
 		{
@@ -153,6 +153,23 @@
 	}
 }
 
+// Guards against two probes at a time: messages are sent several times, and a repeated claim of a request that had ended replaced the
+// claim of the one that was running.
+func TestRepeatedClaimOfEndedProbeIsIgnored(t *testing.T) {
+	tracker := NewTracker(epoch)
+	tracker.LearnClaim(parts("x"), 3, at(0))
+	tracker.Release(parts("x"), 3, at(100))
+	tracker.LearnClaim(parts("x"), 9, at(150))
+	tracker.LearnClaim(parts("x"), 3, at(250))
+	if !tracker.Holds(parts("x"), 9, at(260)) {
+		t.Error("a repeated claim replaced the running probe's")
+	}
+	tracker.LearnClaim(parts("x"), 5, at(400))
+	if !tracker.Holds(parts("x"), 9, at(410)) {
+		t.Error("a later claim with a lower holder replaced the running probe's")
+	}
+}
+
 // Instances receive the same reports in different orders, some twice; they must come to the same verdicts.
 func TestVerdictsDoNotDependOnOrder(t *testing.T) {
 	for seed := range uint64(200) {
