soak: a part of prompts that crashes engines

Engines that begin to answer a request with the part end and come back cold; the ledger checks the platform's bound (BUDGET) on what reaches targets after the fifth crash. A crashed target's address refuses connections now, as on the platform; the proxy accepted and reset them.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -106,6 +106,9 @@
 		call.Parts = []standin.Part{
 			{ID: fmt.Sprintf("%x", prompt%4), Tokens: partTokens}, {ID: fmt.Sprintf("%x", 100+prompt), Tokens: partTokens}, {ID: "f" + id, Tokens: 50},
 		}
+		if deadly := c.fleet.deadlyPart.Load(); deadly != nil && rng.IntN(deadlyOdds) == 0 {
+			call.Parts[1].ID = *deadly
+		}
 		call.Prompt = 2*partTokens + 50
 	}
 	return &attempt{call: call, class: cl}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -50,6 +50,7 @@
 	{"store loses answers", 2, (*fleet).loseMetaStoreAnswers},
 	{"store forgets its history", 2, (*fleet).compactMetaStore},
 	{"target crashes", 3, (*fleet).crashTarget},
+	{"part crashes engines", 4, (*fleet).poisonPart},
 	{"target leaves", 4, (*fleet).replaceTarget},
 	{"targets leave together", 3, (*fleet).replaceTargets},
 	{"target leaves without a word", 3, (*fleet).withdrawTarget},
@@ -315,8 +316,7 @@
 
 func (f *fleet) crashTarget(ctx context.Context, fl fault) {
 	f.withTarget(fl, "", func(ep *endpoint) {
-		ep.target.Stop(false)
-		ep.link.resetAll()
+		f.stopAbruptly(ep)
 		_ = sleep.For(ctx, fl.length) // a new target is started even if ctx has ended
 		f.startColdTarget(ep, ep.service)
 	})
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/egrethoist/egrethoist/platform/standin"
@@ -64,7 +65,8 @@
 	endpoints     []*endpoint
 	nextID        int
 	weightVersion int
-	runningFaults sync.WaitGroup // faults that are not over yet
+	deadlyPart    atomic.Pointer[string] // part of new requests that crashes engines, nil if there is none
+	runningFaults sync.WaitGroup         // faults that are not over yet
 	logFaults     func(string)
 }
 
@@ -219,12 +221,16 @@
 	}
 	if service == engines {
 		o.Model, o.Slots = model, 16
+		o.IsDeadly, o.Crash = isDeadly, func(part string) { f.crashUnder(ep, id, part) }
 	}
 	t, err := standin.StartTarget(o, loopback(targetSubnet, 0))
 	if err != nil {
 		return err
 	}
 	ep.link.setBackend(t.ListenAddress)
+	if err := ep.link.resume(); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	ep.service, ep.target = service, t
 	f.mu.Unlock()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -61,13 +61,14 @@
 	orders          map[string]standin.Order // latest order by target
 	violations      []violation              // at most maxTextsPerRule of each rule
 	violationCounts map[string]int           // by rule
+	deadly          map[string]*deadlyRecord // by part
 }
 
 // newChecker returns a checker for a run that starts now.
 func newChecker(d *disturbances, h *history, b standin.Bounds) *checker {
 	return &checker{
 		disturbances: d, bounds: b, start: time.Now(), history: h, attempts: map[string]*attempt{}, orders: map[string]standin.Order{},
-		signals: newTargetSignals(d, b), violationCounts: map[string]int{},
+		signals: newTargetSignals(d, b), violationCounts: map[string]int{}, deadly: map[string]*deadlyRecord{},
 	}
 }
 
@@ -116,6 +117,7 @@
 	a.arrived = append(a.arrived, r)
 	c.checkDrain(a, r)
 	c.checkSignals(a, r)
+	c.checkDeadly(a, r)
 	recovery := c.bounds.RecoveryTime
 	if evacuatedSince, ok := c.history.evacuatedSince(r.Domain); ok && r.At.After(evacuatedSince.Add(c.bounds.Evacuate)) &&
 		c.connected(evacuatedSince.Add(-recovery), r.At, a.instance) {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -10,17 +10,17 @@
 
 // link is a TCP proxy on the loopback interface in front of one part. It injects network faults without changes to the programs.
 type link struct {
-	Address  string // on which it listens
-	listener net.Listener
-	backend  atomic.Pointer[string]
+	Address string // on which it listens
+	backend atomic.Pointer[string]
 
 	delay        atomic.Int64 // nanoseconds before each block of data is forwarded
 	cutToBackend atomic.Bool  // data to the backend is held back
 	cutToClient  atomic.Bool  // data from the backend is held back
 	refusing     atomic.Bool  // new connections are reset
 
-	mu    sync.Mutex
-	conns map[*linkConn]bool
+	mu       sync.Mutex
+	listener net.Listener // nil while suspended
+	conns    map[*linkConn]bool
 }
 
 // linkConn is a client's connection and the connection to the backend that it is forwarded to.
@@ -38,17 +38,51 @@
 	}
 	k := &link{Address: l.Addr().String(), listener: l, conns: map[*linkConn]bool{}}
 	k.setBackend(backend)
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
 // setBackend sets the address to which new connections are forwarded.
 func (k *link) setBackend(address string) { k.backend.Store(&address) }
 
+// suspend makes the address refuse connections until resume.
+func (k *link) suspend() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listener != nil {
+		_ = k.listener.Close()
+		k.listener = nil
+	}
+}
+
+// resume ends suspend. It returns an error if the address stays in use, for instance by a connection that took its port.
+func (k *link) resume() error {
+	const tries, pause = 20, 50 * time.Millisecond
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp4", k.Address)
+	for range tries {
+		if err == nil {
+			break
+		}
+		time.Sleep(pause)
+		l, err = net.Listen("tcp4", k.Address)
+	}
+	if err != nil {
+		return err
+	}
+	k.listener = l
+	go k.accept(l)
+	return nil
+}
+
 // accept forwards new connections until the listener is closed.
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		c, err := k.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -143,6 +177,6 @@
 
 // close stops listening and resets all open connections.
 func (k *link) close() {
-	_ = k.listener.Close()
+	k.suspend()
 	k.resetAll()
 }
