quarantine: later crashes must not undo a quarantine, and a recalled request is evidence

Now any run of consecutive crashes may suffice, judged by the other crashes up to its last one; and a target is checked 0.2 s after a request was called back from it, with the request's parts as weak evidence. TestVerdicts 'two crashes, then many others, then a third' failed before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -26,6 +26,9 @@
 	crashCollectTime = 3 * time.Millisecond
 	// crashSettleTime is how long the retries of such requests wait for the reports of other instances.
 	crashSettleTime = 20 * time.Millisecond
+	// recallCheckDelay is the time from the recall of a request to the check of its target: longer than from the beginning of an answer to
+	// a crash, and short enough that the target has not restarted.
+	recallCheckDelay = 200 * time.Millisecond
 	// answerBeginTime is how long after its first event an answer counts as begun just now.
 	answerBeginTime = 100 * time.Millisecond
 )
@@ -66,7 +69,13 @@
 // checkCut finds out whether the target of an attempt has crashed, if the attempt was cut. If so, it reports the parts of the request as
 // suspects and waits until the reports of other instances should have arrived.
 func (rq *request) checkCut(a *attempt) {
-	if rq.service.Engine == nil || !a.wasCut() {
+	if rq.service.Engine == nil {
+		return
+	}
+	if errors.Is(a.err, errQuarantined) {
+		rq.checkRecalled(a.target)
+	}
+	if !a.wasCut() {
 		return
 	}
 	check := rq.gateway.opts.State.crashCheckOf(a.target, rq.crashSuspects(a))
@@ -76,6 +85,18 @@
 	}
 }
 
+// checkRecalled finds out later whether a target has crashed under the request that was just called back from it: the target may have begun
+// to answer before it learned of that. The evidence is weak, since that is not known.
+func (rq *request) checkRecalled(t *target) {
+	state, request := rq.gateway.opts.State, uint32(requestHash(rq.call.ID))
+	var suspects []quarantine.Suspect
+	for _, p := range rq.quarantineParts() {
+		servedAt, _ := state.quarantine.tracker.LastServed(p, time.Now())
+		suspects = append(suspects, quarantine.Suspect{Part: p, Request: request, Weak: true, ServedAt: servedAt})
+	}
+	time.AfterFunc(recallCheckDelay, func() { state.crashCheckOf(t, suspects) })
+}
+
 // crashSuspects returns the parts that may have crashed the target of a cut attempt: none if it had not begun to answer. The last part
 // is a suspect only if all others are known to be sound, since no other request has it.
 func (rq *request) crashSuspects(a *attempt) []quarantine.Suspect {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -15,11 +15,10 @@
 	records := t.collect()
 	for _, r := range records {
 		next.accused[r.part] = true
-		others := t.otherCrashes(r, records)
-		if r.allCrashes >= strongCrashes && others == 0 {
+		if r.all >= strongCrashes && t.otherCrashes(r, r.crashes, records) == 0 {
 			next.suspects[r.part] = true // in all crashes of the time, even if the part was answered shortly before
 		}
-		if !r.sufficient(others) || next.members[r.part] || r.explained(records) {
+		if next.members[r.part] || !t.sufficient(r, records) || r.explained(records) {
 			continue
 		}
 		q := t.quarantineOf(r, records)
@@ -32,7 +31,7 @@
 		switch {
 		case next.members[r.part]:
 			delete(next.suspects, r.part)
-		case r.strongCrashes > 0:
+		case r.strong > 0:
 			next.suspects[r.part] = true
 		}
 	}
@@ -73,12 +72,17 @@
 
 // record is the evidence against one part that no answer has refuted.
 type record struct {
-	part        Part
-	all, strong []mentionID
-	// allCrashes and strongCrashes count crashes, coinciding ones once. strongTotal counts each.
-	allCrashes, strongCrashes, strongTotal int
-	lastAll, lastStrong                    time.Time // of the crashes that were counted in allCrashes and strongCrashes
-	latest                                 time.Time // crash
+	part     Part
+	mentions []mentionID
+	crashes  []partCrash // by time
+	// strong and all count crashes with strong and with any evidence, coinciding ones once.
+	strong, all int
+}
+
+// partCrash is a crash of a part.
+type partCrash struct {
+	at   time.Time
+	weak bool
 }
 
 // mentionID identifies a request of a crash.
@@ -105,52 +109,66 @@
 			r.add(i, e.at, m, m.weak || trusted)
 		}
 	}
+	for _, r := range byPart {
+		r.strong, r.all = countCrashes(r.crashes, true)
+	}
 	return slices.SortedFunc(maps.Values(byPart), func(a, b *record) int {
-		return cmp.Or(cmp.Compare(b.strongCrashes, a.strongCrashes), cmp.Compare(b.allCrashes, a.allCrashes), compareParts(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.strong, a.strong), cmp.Compare(b.all, a.all), compareParts(a.part, b.part))
 	})
 }
 
 // add adds the evidence of a crash, which is later than those added before.
 func (r *record) add(crash int, at time.Time, m mention, weak bool) {
-	ids := make([]mentionID, len(m.requests))
-	for i, request := range m.requests {
-		ids[i] = mentionID{crash, request}
-	}
-	r.all, r.latest = append(r.all, ids...), at
-	if r.allCrashes == 0 || at.Sub(r.lastAll) > coincidence {
-		r.allCrashes, r.lastAll = r.allCrashes+1, at
+	for _, request := range m.requests {
+		r.mentions = append(r.mentions, mentionID{crash, request})
 	}
-	if weak {
-		return
-	}
-	r.strong = append(r.strong, ids...)
-	r.strongTotal++
-	if r.strongCrashes == 0 || at.Sub(r.lastStrong) > coincidence {
-		r.strongCrashes, r.lastStrong = r.strongCrashes+1, at
+	r.crashes = append(r.crashes, partCrash{at: at, weak: weak})
+}
+
+// sufficient reports whether any run of consecutive crashes of the part suffices for a quarantine. Whatever happens later, only an answer
+// refutes that. The records are sorted as collect returns them.
+func (t *Tracker) sufficient(r *record, records []*record) bool {
+	for first := range r.crashes {
+		for last := first + 1; last < len(r.crashes); last++ {
+			run := r.crashes[first : last+1]
+			if enough(run, t.otherCrashes(r, run, records)) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
-// sufficient reports whether the evidence suffices for a quarantine. others is the number of crashes at the time that the part has
-// nothing to do with: the more there are, the likelier the part was there by chance.
-func (r *record) sufficient(others int) bool {
-	switch {
-	case others == 0:
-		return r.strongTotal >= strongCrashes || r.allCrashes >= anyCrashes
-	case others < unrelatedCrashes:
-		return r.strongCrashes >= strongCrashes || r.allCrashes >= anyCrashes
+// enough reports whether a run of crashes of a part suffices for a quarantine. others is the number of crashes at the time that the part
+// has nothing to do with: the more there are, the likelier the part was there by chance.
+func enough(run []partCrash, others int) bool {
+	strong, all := countCrashes(run, others > 0)
+	if others >= unrelatedCrashes {
+		return strong > strongCrashes || all > anyCrashes
 	}
-	return r.strongCrashes > strongCrashes || r.allCrashes > anyCrashes
+	return strong >= strongCrashes || all >= anyCrashes
 }
 
-// otherCrashes returns the number of crashes about the time of those of the record that the part was not in and that no other part
-// with several crashes may explain. The records are sorted as collect returns them.
-func (t *Tracker) otherCrashes(r *record, records []*record) int {
-	if r.allCrashes < strongCrashes && r.strongTotal < strongCrashes {
-		return 0
+// countCrashes counts the crashes with strong and with any evidence, coinciding ones once; strong ones each if mergeStrong is not set.
+func countCrashes(run []partCrash, mergeStrong bool) (strong, all int) {
+	var lastStrong, last time.Time
+	for _, c := range run {
+		if all == 0 || c.at.Sub(last) > coincidence {
+			all, last = all+1, c.at
+		}
+		if !c.weak && (strong == 0 || !mergeStrong || c.at.Sub(lastStrong) > coincidence) {
+			strong, lastStrong = strong+1, c.at
+		}
 	}
-	n, from := 0, t.crashes[r.all[0].crash].at.Add(-relatedTime)
+	return strong, all
+}
+
+// otherCrashes returns the number of crashes about the time of a run that the part was not in and that no other part with several
+// crashes may explain.
+func (t *Tracker) otherCrashes(r *record, run []partCrash, records []*record) int {
+	n, from, to := 0, run[0].at.Add(-relatedTime), run[len(run)-1].at
 	for _, e := range t.crashes {
-		if _, ok := e.suspects[r.part]; ok || e.at.Before(from) || e.at.After(r.latest) {
+		if _, ok := e.suspects[r.part]; ok || e.at.Before(from) || e.at.After(to) {
 			continue
 		}
 		if !e.mayBeExplained(records) {
@@ -163,7 +181,7 @@
 // mayBeExplained reports whether a suspect of the crash has several crashes.
 func (e *evidence) mayBeExplained(records []*record) bool {
 	for _, r := range records {
-		if r.strongCrashes < strongCrashes {
+		if r.strong < strongCrashes {
 			return false
 		}
 		if _, ok := e.suspects[r.part]; ok {
@@ -175,10 +193,10 @@
 
 // explained reports whether another part with more crashes was a suspect in each of these.
 func (r *record) explained(records []*record) bool {
-	for _, id := range r.all {
+	for _, id := range r.mentions {
 		found := slices.ContainsFunc(records, func(other *record) bool {
-			return other.strongCrashes >= r.strongCrashes && other.allCrashes > r.allCrashes && other.strongCrashes >= strongCrashes &&
-				slices.ContainsFunc(other.all, func(o mentionID) bool { return o.crash == id.crash })
+			return other.strong >= r.strong && other.all > r.all && other.strong >= strongCrashes &&
+				slices.ContainsFunc(other.mentions, func(o mentionID) bool { return o.crash == id.crash })
 		})
 		if !found {
 			return false
@@ -189,9 +207,9 @@
 
 // quarantineOf returns the quarantine of a part and of those that were in just the same requests of all crashes.
 func (t *Tracker) quarantineOf(r *record, records []*record) Quarantine {
-	q := Quarantine{Crashes: max(r.allCrashes, strongCrashes), LastCrash: r.latest}
+	q := Quarantine{Crashes: max(r.all, strongCrashes), LastCrash: r.crashes[len(r.crashes)-1].at}
 	for _, other := range records {
-		if slices.Equal(r.all, other.all) {
+		if slices.Equal(r.mentions, other.mentions) {
 			q.Parts = append(q.Parts, other.part)
 			q.WeightVersion = max(q.WeightVersion, t.versions[other.part])
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -86,6 +86,11 @@
 			"a part that became deadly after it was answered", []step{served(-100, "x"), crash(crashOf(0, "x")), crash(crashOf(500, "x")), crash(crashOf(1000, "x"))},
 			[]string{"x"}, 1100, 1, Refuse,
 		},
+		{
+			"two crashes, then many others, then a third", []step{
+				crash(crashOf(0, "x")), crash(crashOf(50, "x")), crash(crashOf(60, "y")), crash(crashOf(110, "z")), crash(crashOf(120, "w")), crash(crashOf(140, "x")),
+			}, []string{"x"}, 200, 1, Refuse,
+		},
 		{"a companion in both crashes, together", []step{crash(crashOf(0, "x", "s")), crash(crashOf(500, "x", "s"))}, []string{"x", "s"}, 600, 1, Refuse},
 		{"a companion in both crashes, alone", []step{crash(crashOf(0, "x", "s")), crash(crashOf(500, "x", "s"))}, []string{"s"}, 600, 1, Probe},
 		{"a companion in one crash of two", []step{crash(crashOf(0, "x", "s")), crash(crashOf(500, "x"))}, []string{"x", "r"}, 600, 1, Refuse},
