gateway: part IDs that cannot be reported must not end the handler

A request all of whose part IDs exceed 128 bytes, cut by a crash, made crashSuspects slice out of range: the caller's connection closed without an answer.

A target that was found alive is checked again after 250 ms instead of a second: evidence of a crash soon after a reset was lost.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -21,7 +21,7 @@
 	// connections before its listener.
 	crashRedialDelay = 30 * time.Millisecond
 	// crashCheckInterval is the shortest time between two checks of a target that has not crashed.
-	crashCheckInterval = time.Second
+	crashCheckInterval = 250 * time.Millisecond
 	// crashCollectTime is how long the requests that a crash has cut are collected before they are reported.
 	crashCollectTime = 3 * time.Millisecond
 	// crashSettleTime is how long the retries of such requests wait for the reports of other instances.
@@ -100,12 +100,12 @@
 // crashSuspects returns the parts that may have crashed the target of a cut attempt: none if it had not begun to answer. The last part
 // is a suspect only if all others are known to be sound, since no other request has it.
 func (rq *request) crashSuspects(a *attempt) []quarantine.Suspect {
-	if a.progress.headAt.IsZero() || len(rq.call.Parts) == 0 {
+	parts := rq.quarantineParts()
+	if a.progress.headAt.IsZero() || len(parts) == 0 {
 		return nil
 	}
 	now := time.Now()
 	weak := !a.progress.firstEvent.IsZero() && now.Sub(a.progress.firstEvent) > answerBeginTime
-	parts := rq.quarantineParts()
 	last := len(parts) - 1
 	request := uint32(requestHash(rq.call.ID))
 	var suspects []quarantine.Suspect
