soak: no start of another process while an instance's ports are checked

The soak's own check had just listened there; a process that another seed forks at that moment holds the descriptor until it executes its program, which takes long on a machine with a load of 50. Thought to be the cause, not reproduced.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/egrethoist/egrethoist/platform/standin"
@@ -250,6 +251,9 @@
 // checkPortsFree returns an error if another process uses one of an instance's ports, such as a process left over from an
 // interrupted run.
 func checkPortsFree(ip string) error {
+	// A process that another seed starts meanwhile would hold the listeners until it executes its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for _, port := range []int{frontPort, readyPort, peerPort} {
 		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
