soak: planned stops up to three seconds before the send excuse a cut stream

The platform excuses requests that were sent up to 3 s after SIGTERM and still run in the last sixth of the grace time; the ledger had that condition but looked for stops in the 2 s before the send only.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -290,7 +290,7 @@
 			return // its target was disturbed
 		}
 	}
-	stop, planned := c.history.plannedStop(a.instance, from, a.done)
+	stop, planned := c.history.plannedStop(a.instance, a.sent.Add(-maxLateStart), a.done)
 	late := planned && (a.sent.After(stop.Add(maxLateStart)) || a.done.After(stop.Add(c.bounds.StopTimeout*5/6)))
 	if !late && len(a.arrived) > 0 && c.disturbances.undisturbed(from, a.done, a.instance, metaStorePart, callerLinksPart) {
 		c.addViolation("LOST", "request %s (%s) through %s ended without a complete answer after %v, planned stop: %v: %s", a.call.ID, a.class.name, a.instance,
