--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -30,6 +30,9 @@
 		return false
 	}
 	rq.call, rq.lastEventID = call, call.LastEventID
+	if call.LastEventID > 0 {
+		rq.gateway.metrics.resumed.Inc(1)
+	}
 	if rejected := rq.authorize(); rejected != nil {
 		rq.reject(rejected)
 		return false
--- a/internal/gateway/describe.go
+++ b/internal/gateway/describe.go
@@ -8,9 +8,10 @@
 	Outcome       string  `json:"fate"`
 	Status        int     `json:"status,omitempty"`
 	Error         string  `json:"err,omitempty"`
-	WeightVersion int     `json:"weights,omitempty"` // weight version that the request asked for
-	Metadata      uint64  `json:"metadata"`          // revision of the metadata by which the target was chosen
-	AgeMs         float64 `json:"age_ms"`            // age of the metadata just before the send; negative if unknown
+	WeightVersion int     `json:"weights,omitempty"`  // weight version that the request asked for
+	Software      string  `json:"software,omitempty"` // version of the target's software
+	Metadata      uint64  `json:"metadata"`           // revision of the metadata by which the target was chosen
+	AgeMs         float64 `json:"age_ms"`             // age of the metadata just before the send; negative if unknown
 	ChosenMs      float64 `json:"chosen_ms"`
 	ConnectMs     float64 `json:"connected_ms,omitempty"`
 	SentMs        float64 `json:"sent_ms,omitempty"`
@@ -29,7 +30,7 @@
 	lines := make([]attemptLog, len(attempts))
 	for i, a := range attempts {
 		lines[i] = attemptLog{
-			Target: a.target.id, Outcome: a.outcome.String(), Status: a.status, WeightVersion: a.weightVersion, Metadata: a.metadataRevision, AgeMs: milliseconds(a.metadataAge),
+			Target: a.target.id, Outcome: a.outcome.String(), Status: a.status, WeightVersion: a.weightVersion, Software: a.target.software, Metadata: a.metadataRevision, AgeMs: milliseconds(a.metadataAge),
 			ChosenMs: since(a.chosen), ConnectMs: since(a.connected), SentMs: since(a.sent),
 			HeadMs: since(a.progress.headAt), Events: a.progress.events,
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -130,6 +130,17 @@
 	}
 }
 
+// recordSoftware records the software version of the target whose event is sent to the caller next.
+func (rq *request) recordSoftware(t *target) {
+	if rq.software == t.software {
+		return
+	}
+	if rq.software != "" {
+		rq.gateway.metrics.switched.Inc(1)
+	}
+	rq.software = t.software
+}
+
 // endStream records a stream that was cut. Once events have reached the caller, the outcome is attemptBroken.
 func (rq *request) endStream(result *attempt, err error) {
 	rq.recordNoAnswer(result, err)
@@ -152,6 +163,7 @@
 			}
 			rq.lastEventID = id
 		}
+		rq.recordSoftware(result.target)
 		rq.answerBegun.Store(true)
 		rq.recordEvent(result)
 		if !rq.headSent {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,7 @@
 	answerBegun atomic.Bool   // the target of the last attempt has sent a complete event
 	headSent    bool          // the status and headers of the answer were sent to the caller
 	lastEventID uint64        // ID of the last event of the stream that was sent to the caller
+	software    string        // software version whose events were sent to the caller; empty if none were
 	firstByteAt time.Time     // when the head was sent to the caller; zero if it was not
 	status      int           // HTTP status sent to the caller
 	outcome     string        // outcomeAnswered, or why the request failed
@@ -197,5 +198,6 @@
 		revision = rq.view.revision
 	}
 	klog.InfoS("request", "id", rq.call.ID, "route", route, "workspace", workspace, "outcome", rq.outcome, "status", rq.status,
-		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision)
+		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision,
+		"resumes", rq.call.Resumes, "after", rq.call.LastEventID)
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -28,6 +28,7 @@
 	PromptTotal int    // tokens of the prompt
 	OutputLimit int    // maximum output tokens
 	LastEventID uint64 // last event received of a stream that the caller resumes; zero for a new one
+	Resumes     string // ID of the caller's attempt that received the first event of that stream; empty if unspecified
 }
 
 // ForwardParams is the information that is sent to a target in addition to the caller's headers.
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -29,6 +29,7 @@
 // target is the state that this instance keeps of one incarnation of a target. It is shared by successive views.
 type target struct {
 	id, address, domain string // immutable
+	software            string // version of its software; immutable
 	born                int64  // start of the process in Unix milliseconds, zero if unknown; immutable
 	incarnation         departure.Incarnation
 	limit               *limitState
@@ -54,7 +55,7 @@
 // newTarget returns a target of a roster record. connections limits the pool; a nil dial stands for TCP.
 func newTarget(t roster.Target, connections int, dial targetconn.Dial, l *limitRegistry) *target {
 	created := &target{
-		id: t.ID, address: t.Address, domain: t.FailureDomain, born: t.Born, incarnation: departure.IncarnationOf(t.ID, t.Address, t.Born), record: t, idHash: xxhash.Sum64String(t.ID), pool: targetconn.NewPool(t.Address, connections, dial),
+		id: t.ID, address: t.Address, domain: t.FailureDomain, software: t.Software, born: t.Born, incarnation: departure.IncarnationOf(t.ID, t.Address, t.Born), record: t, idHash: xxhash.Sum64String(t.ID), pool: targetconn.NewPool(t.Address, connections, dial),
 		stats: new(routing.Stats),
 	}
 	created.limit = l.register(t.ID, created.incarnation)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,7 @@
 	Leaving       bool           // it is draining and accepts no new work
 	ColdFor       time.Duration  // remaining time for which it is cold, when the record was written
 	Weights       map[string]int // weight version by model
+	Software      string         // version of its software; empty if unknown
 	Born          int64          // start time in Unix milliseconds, identifies the incarnation; zero if unknown
 }
 
