--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -359,14 +358,14 @@
 // softwareState is what State keeps of the software versions of services. It is guarded by State.mu.
 type softwareState struct {
 	tracker   *streampin.Tracker
-	policies  map[string]metastore.Item // records by service
-	lifetimes map[string]time.Duration  // of streams, by service with streams that may be resumed
-	catalog   *catalog.Catalog          // by which lifetimes was computed
-	logged    map[string]string         // state that was logged last, by service
+	policies  map[string]metastore.Item    // records by service
+	lifetimes map[string]time.Duration     // of streams, by service with streams that may be resumed
+	catalog   *catalog.Catalog             // by which lifetimes was computed
+	logged    map[string]streampin.Service // state that was logged last, by service
 }
 
 func newSoftwareState() softwareState {
-	return softwareState{tracker: streampin.NewTracker(), policies: map[string]metastore.Item{}, lifetimes: map[string]time.Duration{}, logged: map[string]string{}}
+	return softwareState{tracker: streampin.NewTracker(), policies: map[string]metastore.Item{}, lifetimes: map[string]time.Duration{}, logged: map[string]streampin.Service{}}
 }
 
 // restore applies the policies in the metadata store, by service, and the versions whose announcements are held, by service.
@@ -395,13 +394,8 @@
 	for service, lifetime := range s.lifetimes {
 		s.tracker.Observe(service, versions[service], lifetime, now)
 		known := s.tracker.Service(service, now)
-		raw, err := json.Marshal(known)
-		if err != nil {
-			klog.ErrorS(err, "cannot describe software versions", "service", service)
-			continue
-		}
-		if text := string(raw); s.logged[service] != text {
-			s.logged[service] = text
+		if !known.Equal(s.logged[service]) {
+			s.logged[service] = known
 			klog.InfoS("software versions of a service", "service", service, "baseline", known.Baseline, "announced", known.Announced, "open", known.Open, "present", known.Present)
 		}
 	}
--- a/internal/streampin/streampin.go
+++ b/internal/streampin/streampin.go
@@ -90,6 +90,11 @@
 	Present []string // versions of all known targets, also of leaving ones, sorted
 }
 
+// Equal reports whether nothing has changed.
+func (s Service) Equal(other Service) bool {
+	return s.Policy.equal(other.Policy) && slices.Equal(s.Open, other.Open) && slices.Equal(s.Present, other.Present)
+}
+
 // AwaitsOpening reports whether a version will open as time passes.
 func (s *Service) AwaitsOpening() bool { return len(s.Open) < len(s.Announced) }
 
