gateway: a new software version opens as soon as all instances have seen its announcement

Change: the instance that announces a version asks all live instances, by datagram, whether they have that revision, and ends the hold in the store when all have. The two seconds remain the fallback, also while an instance that may not know that its registration has ended could still rely on the baseline. Ruled out: opening at once where no target of the baseline is left, since such targets may serve on without a record.

What is refused now waits for cold targets (all 18 are, after each release) or has no target of its version.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -40,6 +40,7 @@
 	versionHistory   *roster.WeightVersions       // first sightings and expiries of weight versions
 	retired          map[string]retirement.Shares // cached parts that are no longer fetched or saved, by model
 	instances        int                          // live instances, at least one
+	registered       bool                         // this instance is among them
 	links            map[string]transfertime.Link // network links of KV-cache stores, by address
 }
 
@@ -120,6 +121,7 @@
 	prefills         map[string]*prefilltime.Estimator  // by service; they outlive views
 	grantStats       map[string]*targetlimit.GrantStats // by service; they outlive views
 	instances        map[string]Instance                // live instances by name
+	instanceLostAt   time.Time                          // when an instance last disappeared, or could have; zero before the first metadata
 	loading          map[string]bool                    // targets that are out of rotation to load weights
 	loaded           []loadedVersion                    // versions that targets have loaded, ahead of their own records
 	retired          map[string]retirement.Shares       // retired cached parts by model
@@ -246,6 +248,14 @@
 	if !maps.Equal(instances, s.instances) {
 		klog.InfoS("instances changed", "count", len(instances))
 	}
+	for name := range s.instances {
+		if _, present := instances[name]; !present {
+			s.instanceLostAt = now
+		}
+	}
+	if s.instanceLostAt.IsZero() {
+		s.instanceLostAt = now
+	}
 	s.instances, s.loading = instances, loading
 	grantors := targetlimit.NewGrantors(s.membersLocked())
 	s.grantorList.Store(&grantors)
@@ -380,6 +390,7 @@
 		catalog: s.snapshot.Catalog, revision: s.snapshot.Revision, metadataRevision: s.metadataRevision, services: map[string]*service{},
 		weights: maps.Clone(s.snapshot.Weights), instances: max(len(s.instances), 1),
 	}
+	_, v.registered = s.instances[s.opts.Self]
 	if prev == nil || prev.revision != v.revision {
 		klog.InfoS("configuration in force", "version", v.catalog.Version, "revision", v.revision)
 	}
--- a/internal/gateway/streamrecord.go
+++ b/internal/gateway/streamrecord.go
@@ -317,15 +317,32 @@
 	}
 	store, key := r.State.streams.store, SoftwarePrefix+c.service
 	txn := metastore.Txn{If: []metastore.Condition{{Key: key, Revision: c.revision}}, Puts: []metastore.Put{{Key: key, Value: raw}}}
+	var holds []string
 	if len(c.added) > 0 {
 		lease, _, err := store.Grant(ctx, streampin.HoldTTL)
 		if err != nil {
 			return err
 		}
 		for _, software := range c.added {
-			txn.Puts = append(txn.Puts, metastore.Put{Key: holdPrefix + c.service + "/" + software, Value: []byte("{}"), Lease: lease})
+			hold := holdPrefix + c.service + "/" + software
+			holds = append(holds, hold)
+			txn.Puts = append(txn.Puts, metastore.Put{Key: hold, Value: []byte("{}"), Lease: lease})
 		}
 	}
-	_, err = store.Commit(ctx, txn)
+	revision, err := store.Commit(ctx, txn)
+	if err == nil && len(holds) > 0 {
+		go r.endHolds(ctx, key, revision, holds)
+	}
 	return err
 }
+
+// endHolds deletes the keys of an announcement before they expire, if all instances have seen it.
+func (r *SoftwareRecorder) endHolds(ctx context.Context, policyKey string, revision uint64, holds []string) {
+	if !r.State.streams.awaitAll(ctx, revision, streampin.HoldTTL) {
+		return
+	}
+	txn := metastore.Txn{If: []metastore.Condition{{Key: policyKey, Revision: revision}}, Delete: holds}
+	if _, err := r.State.streams.store.Commit(ctx, txn); err != nil && !errors.Is(err, metastore.ErrConflict) {
+		klog.InfoS("announcement of software versions ends by its lease", "key", policyKey, "err", err.Error())
+	}
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -29,6 +29,8 @@
 	// callers wait for the next event. A refusal would cost the caller one of its few attempts.
 	resolveTimeout    = time.Second
 	resolveRetryDelay = 100 * time.Millisecond
+	// awaitPeriod is the time between two questions whether an instance has the metadata of a revision.
+	awaitPeriod = 50 * time.Millisecond
 	// maxPeersAsked bounds the instances that are asked about a stream.
 	maxPeersAsked = 64
 	// peersReadingStore is the number of them that read the store for it.
@@ -55,6 +57,7 @@
 	mu        sync.Mutex
 	conn      net.PacketConn // nil until the Gossip listens
 	pending   map[uint64]chan streampin.Reply
+	awaiting  map[uint64]chan string // instances that have reached the metadata asked for, by nonce
 	peerReads int
 
 	metrics streamMetrics
@@ -64,7 +67,7 @@
 	if m == nil {
 		m = tally.NoopScope
 	}
-	out := &streamService{state: s, store: store, pins: streampin.NewPins(), pending: map[uint64]chan streampin.Reply{}, metrics: newStreamMetrics(m)}
+	out := &streamService{state: s, store: store, pins: streampin.NewPins(), pending: map[uint64]chan streampin.Reply{}, awaiting: map[uint64]chan string{}, metrics: newStreamMetrics(m)}
 	if store != nil {
 		out.recorder = newStreamRecorder(store, &out.metrics)
 	}
@@ -144,7 +147,7 @@
 	if v, ok := s.pins.Get(id, time.Now()); ok {
 		return v, sourceMemory, nil
 	}
-	if v, ok := sv.KnownWithoutStore(s.state.metadataAge()); ok {
+	if v, ok := s.knownWithoutStore(sv); ok {
 		return v, sourceBaseline, nil
 	}
 	started := time.Now()
@@ -163,6 +166,12 @@
 	}
 }
 
+// knownWithoutStore returns the version of all streams of a service, if there can be only one.
+func (s *streamService) knownWithoutStore(sv *streampin.Service) (streampin.Version, bool) {
+	v := s.state.current.Load()
+	return sv.KnownWithoutStore(v != nil && v.registered, s.state.metadataAge())
+}
+
 // ask reads the record of a stream from the store, and asks other instances if the store fails or is slow.
 func (s *streamService) ask(ctx context.Context, id string, sv *streampin.Service) finding {
 	ctx, cancel := context.WithCancel(ctx)
@@ -292,7 +301,8 @@
 		klog.V(1).InfoS("invalid message about a stream dropped", "from", from.String(), "err", err.Error())
 		return true
 	}
-	if m.Reply != nil {
+	switch {
+	case m.Reply != nil:
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		select {
@@ -300,6 +310,19 @@
 		default: // late, or more than were asked for
 		}
 		return true
+	case m.Reached != nil:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		select {
+		case s.awaiting[m.Nonce] <- m.Reached.Instance:
+		default: // late, or repeated
+		}
+		return true
+	case m.Await != nil:
+		if current := s.state.current.Load(); current != nil && current.metadataRevision >= m.Await.Revision {
+			s.answer(from, streampin.Message{Nonce: m.Nonce, Reached: &streampin.Reached{Instance: s.state.opts.Self}})
+		}
+		return true
 	}
 	v, ok := s.pins.Get(m.Query.ID, time.Now())
 	if ok || !m.Query.ReadStore {
@@ -312,12 +335,67 @@
 
 // reply answers a query of another instance.
 func (s *streamService) reply(nonce uint64, to net.Addr, r streampin.Reply) {
+	s.answer(to, streampin.Message{Nonce: nonce, Reply: &r})
+}
+
+func (s *streamService) answer(to net.Addr, m streampin.Message) {
 	s.mu.Lock()
 	conn := s.conn
 	s.mu.Unlock()
 	if conn != nil {
-		s.send(conn, to.String(), streampin.Message{Nonce: nonce, Reply: &r})
+		s.send(conn, to.String(), m)
+	}
+}
+
+// awaitAll returns true once all live instances have the metadata of a revision, false if they do not in time.
+func (s *streamService) awaitAll(ctx context.Context, revision uint64, timeout time.Duration) bool {
+	nonce := rand.Uint64()
+	reached := make(chan string, 1024)
+	s.mu.Lock()
+	conn := s.conn
+	s.awaiting[nonce] = reached
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.awaiting, nonce)
+		s.mu.Unlock()
+	}()
+	confirmed := map[string]bool{}
+	for giveUp := time.Now().Add(timeout); conn != nil && time.Now().Before(giveUp); {
+		// The list of instances must be as new as the revision: one that registers later has that metadata.
+		if missing, known := s.missingInstances(revision, confirmed); known {
+			if len(missing) == 0 {
+				return true
+			}
+			for _, peer := range missing {
+				s.send(conn, peer, streampin.Message{Nonce: nonce, Await: &streampin.Await{Revision: revision}})
+			}
+		}
+		if sleep.For(ctx, awaitPeriod) != nil {
+			return false
+		}
+		for len(reached) > 0 {
+			confirmed[<-reached] = true
+		}
+	}
+	return false
+}
+
+// missingInstances returns the addresses of the other live instances that are not confirmed. It returns false if this instance does not have
+// the metadata of the revision itself, or if an instance may not know yet that it no longer counts as live.
+func (s *streamService) missingInstances(revision uint64, confirmed map[string]bool) ([]string, bool) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	if s.state.metadataRevision < revision || time.Since(s.state.instanceLostAt) < streampin.MaxTrustedAge {
+		return nil, false
+	}
+	var missing []string
+	for name, in := range s.state.instances {
+		if name != s.state.opts.Self && !confirmed[name] {
+			missing = append(missing, in.Address)
+		}
 	}
+	return missing, true
 }
 
 // readForPeer reads the store for another instance and answers it.
@@ -474,7 +552,7 @@
 	v, source, err := streampin.Version{}, sourceNone, errUnknownStream
 	if id := rq.streamID(); id != "" {
 		v, source, err = streams.resolve(rq.ctx, id, rq.service.software)
-	} else if known, ok := rq.service.software.KnownWithoutStore(rq.gateway.opts.State.metadataAge()); ok {
+	} else if known, ok := streams.knownWithoutStore(rq.service.software); ok {
 		v, source, err = known, sourceBaseline, nil
 	}
 	rq.pinSource = source
--- a/internal/streampin/message.go
+++ b/internal/streampin/message.go
@@ -13,11 +13,23 @@
 	maxName     = 256
 )
 
-// Message asks another instance about a stream, or answers.
+// Message asks another instance about a stream or about its metadata, or answers. One of the pointers is set.
 type Message struct {
-	Nonce uint64 `json:"n"`
-	Query *Query `json:"q,omitempty"`
-	Reply *Reply `json:"r,omitempty"`
+	Nonce   uint64   `json:"n"`
+	Query   *Query   `json:"q,omitempty"`
+	Reply   *Reply   `json:"r,omitempty"`
+	Await   *Await   `json:"a,omitempty"`
+	Reached *Reached `json:"d,omitempty"`
+}
+
+// Await asks for an answer if the instance has the metadata of a revision.
+type Await struct {
+	Revision uint64 `json:"r"`
+}
+
+// Reached says that the instance has the metadata that was asked for.
+type Reached struct {
+	Instance string `json:"i"`
 }
 
 // Query asks which version began a stream.
@@ -57,8 +69,14 @@
 	if err := json.Unmarshal(b[1:], m); err != nil {
 		return nil, errors.Join(errMalformed, err)
 	}
+	set := 0
+	for _, present := range []bool{m.Query != nil, m.Reply != nil, m.Await != nil, m.Reached != nil} {
+		if present {
+			set++
+		}
+	}
 	switch {
-	case (m.Query == nil) == (m.Reply == nil):
+	case set != 1:
 		return nil, errMalformed
 	case m.Query != nil && (!ValidID(m.Query.ID) || len(m.Query.Service) > maxName):
 		return nil, errMalformed
--- a/internal/streampin/streampin.go
+++ b/internal/streampin/streampin.go
@@ -38,14 +38,15 @@
 }
 
 const (
-	// openDelay is the time from the announcement of a version until streams begin at it. An instance whose metadata is younger than
-	// that, and shows no announcement, can therefore rely on the baseline without reading the store.
+	// openDelay is the time from the announcement of a version until streams begin at it, unless all instances are known to have seen it
+	// before. An instance whose metadata is younger than that, and shows no announcement, can therefore rely on the baseline without
+	// reading the store.
 	openDelay = 2 * time.Second
 	// HoldTTL is the lease of the key that is written with an announcement. While an instance does not see that key, openDelay has passed,
 	// even if the instance has just started. It is longer than openDelay, since a write may take effect seconds after the lease was granted.
 	HoldTTL = openDelay + 3*time.Second
-	// maxTrustedAge is the age of such metadata. It leaves a margin for clocks of different speed.
-	maxTrustedAge = openDelay - 200*time.Millisecond
+	// MaxTrustedAge is the age of such metadata. It leaves a margin for clocks of different speed.
+	MaxTrustedAge = openDelay - 200*time.Millisecond
 	// lifetimePerTimeout is the longest time from the begin of a stream to the last attempt to resume it, in timeouts of its route: a few
 	// attempts, each of which may take the whole timeout.
 	lifetimePerTimeout = 4
@@ -135,9 +136,10 @@
 }
 
 // KnownWithoutStore returns the version of any stream of the service, if metadata of that age is enough to know it: no stream can have
-// begun at another version than the baseline yet.
-func (s *Service) KnownWithoutStore(metadataAge time.Duration) (Version, bool) {
-	if !s.isSettled() || metadataAge < 0 || metadataAge > maxTrustedAge {
+// begun at another version than the baseline yet. registered is whether the metadata has the record of this instance: otherwise the others
+// do not wait for it.
+func (s *Service) KnownWithoutStore(registered bool, metadataAge time.Duration) (Version, bool) {
+	if !registered || !s.isSettled() || metadataAge < 0 || metadataAge > MaxTrustedAge {
 		return Version{}, false
 	}
 	return Version{Service: s.Name, Software: s.Baseline}, true
