--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -213,7 +213,7 @@
 // readStore reads the record of a stream from the metadata store.
 func (s *streamService) readStore(ctx context.Context, id string, sv *streampin.Service) finding {
 	if s.store == nil {
-		return finding{}
+		return finding{final: true}
 	}
 	s.metrics.storeReads.Inc(1)
 	item, found, err := s.store.Get(ctx, streamKey(id))
