--- a/internal/streampin/release_test.go
+++ b/internal/streampin/release_test.go
@@ -21,7 +21,6 @@
 	// The store.
 	away    bool
 	record  Policy
-	changed time.Time // of record
 	streams map[string]Version
 
 	joined, refused, resumed, writes, reads int
