--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -94,6 +94,25 @@
 	return &known
 }
 
+// beginAt returns the software versions at which new streams may begin, nil for all. canRecord is whether records can be written.
+func (sv *service) beginAt(canRecord bool) []string {
+	if canRecord {
+		return sv.beginAny
+	}
+	return sv.beginUnwritten
+}
+
+// softwareVersions returns the software versions of all known targets, by service.
+func (s *State) softwareVersions() map[string][]string {
+	out := map[string][]string{}
+	for _, t := range s.targets {
+		if t.software != "" && !slices.Contains(out[t.record.Service], t.software) {
+			out[t.record.Service] = append(out[t.record.Service], t.software)
+		}
+	}
+	return out
+}
+
 // policyChange is a due change of the record of a service.
 type policyChange struct {
 	service  string
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -59,14 +59,6 @@
 	beginUnwritten []string                // the same while records of streams can't be written
 }
 
-// beginAt returns the software versions at which new streams may begin, nil for all. canRecord is whether records can be written.
-func (sv *service) beginAt(canRecord bool) []string {
-	if canRecord {
-		return sv.beginAny
-	}
-	return sv.beginUnwritten
-}
-
 // StateOptions configure a State.
 type StateOptions struct {
 	Self        string            // name of this instance
@@ -492,17 +484,6 @@
 	return hashes
 }
 
-// softwareVersions returns the software versions of all known targets, by service.
-func (s *State) softwareVersions() map[string][]string {
-	out := map[string][]string{}
-	for _, t := range s.targets {
-		if t.software != "" && !slices.Contains(out[t.record.Service], t.software) {
-			out[t.record.Service] = append(out[t.record.Service], t.software)
-		}
-	}
-	return out
-}
-
 // buildService returns a service of the view v with its usable targets. previous is its snapshot in the previous view, nil if none.
 func (s *State) buildService(v *view, decl *catalog.Service, usable []*target, previous *routing.Snapshot, hashes []uint64, now time.Time) *service {
 	sv := &service{Service: decl, targets: make(map[string]*target, len(usable)), budget: s.retryBudget(decl.Name, v.instances, now)}
