metastore: a full read passes over the records of streams

Ruled out: listings of the KV-cache stores (tens of kilobytes each) and the store's own delay (4 ms).

Change: Range takes prefixes to omit and continues behind them.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -114,7 +114,7 @@
 		Store: p.store, FirstStart: s.FirstStart,
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
-		Store: p.store, Prefix: "", Skip: gateway.IsUnmirrored, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
+		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.fetchChanges, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
 	})
 	p.engines = platform.NewEngines()
--- a/internal/metastore/memory/memory.go
+++ b/internal/metastore/memory/memory.go
@@ -133,7 +133,7 @@
 }
 
 // Range implements metastore.Store.
-func (s *Store) Range(_ context.Context, prefix string) ([]metastore.Item, uint64, error) {
+func (s *Store) Range(_ context.Context, prefix string, omit ...string) ([]metastore.Item, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.startCall("range"); err != nil {
@@ -141,7 +141,8 @@
 	}
 	var out []metastore.Item
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
-		if strings.HasPrefix(key, prefix) {
+		omitted := slices.ContainsFunc(omit, func(o string) bool { return strings.HasPrefix(key, o) })
+		if strings.HasPrefix(key, prefix) && !omitted {
 			out = append(out, s.items[key])
 		}
 	}
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -65,8 +65,9 @@
 type Store interface {
 	// Get returns the item of a key as of the time of the call. It returns false if the key does not exist.
 	Get(ctx context.Context, key string) (Item, bool, error)
-	// Range returns all items under prefix and the revision to pass to Watch to see every later change.
-	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Range returns all items under prefix, except those under one of the omitted prefixes, and the revision to pass to Watch to see
+	// every later change.
+	Range(ctx context.Context, prefix string, omit ...string) ([]Item, uint64, error)
 	// Watch waits up to wait for changes after a revision and returns them with the revision to pass to the next call. It returns
 	// no events if none occur in that time, and ErrHistoryLost if the revision is compacted.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,8 +52,9 @@
 type MirrorOptions struct {
 	Store  Store
 	Prefix string
-	// Skip reports whether a key is left out of the copy. Such keys are read from the store when they are needed. If it is nil, none is.
-	Skip func(key string) bool
+	// SkipPrefix is the prefix of the keys that are left out of the copy; empty: none. They are read from the store when they are
+	// needed. They can be many times as many as the others, so a full read must not page through them.
+	SkipPrefix string
 	// OnChange is called from Run after each change, and about once per watch without changes, with all items and their
 	// revision. It must not retain the map.
 	OnChange func(items map[string]Item, revision uint64)
@@ -94,9 +96,6 @@
 	if o.Clock == nil {
 		o.Clock = bootclock.Now
 	}
-	if o.Skip == nil {
-		o.Skip = func(string) bool { return false }
-	}
 	o.MinExpiryOutage = max(o.MinExpiryOutage, minOutage)
 	return &Mirror{opts: o, items: map[string]Item{}, callEnded: make(chan struct{})}
 }
@@ -234,7 +233,11 @@
 // revision than the known one.
 func (m *Mirror) resync(ctx context.Context, recovering bool) error {
 	calledAt := m.opts.Clock()
-	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix)
+	var omit []string
+	if m.opts.SkipPrefix != "" {
+		omit = []string{m.opts.SkipPrefix}
+	}
+	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix, omit...)
 	if err != nil {
 		return err
 	}
@@ -257,9 +260,6 @@
 func (m *Mirror) replace(items []Item, asOf uint64) {
 	next := make(map[string]Item, len(items))
 	for _, item := range items {
-		if m.opts.Skip(item.Key) {
-			continue
-		}
 		if old, ok := m.items[item.Key]; ok && old.Revision > item.Revision {
 			item = old
 		}
@@ -296,7 +296,10 @@
 
 // withoutSkipped removes the events of keys that are left out of the copy.
 func (m *Mirror) withoutSkipped(events []Event) []Event {
-	return slices.DeleteFunc(events, func(e Event) bool { return m.opts.Skip(e.Key) })
+	if m.opts.SkipPrefix == "" {
+		return events
+	}
+	return slices.DeleteFunc(events, func(e Event) bool { return strings.HasPrefix(e.Key, m.opts.SkipPrefix) })
 }
 
 // apply applies events, skipping those that are already known, and advances the state to revision asOf.
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -269,7 +268,7 @@
 func TestMirrorLeavesOutSkippedKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
-		m, get := startMirror(t, metastore.MirrorOptions{Store: store, Skip: func(key string) bool { return strings.HasPrefix(key, "skipped/") }})
+		m, get := startMirror(t, metastore.MirrorOptions{Store: store, SkipPrefix: "skipped/"})
 		get("")
 		before := store.Calls("watch")
 		const length = 10 * time.Second
