--- /dev/null
+++ b/internal/workspaceshare/tracker.go
@@ -0,0 +1,169 @@
+package workspaceshare
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// sharesAge is the age at which the shares of a service are computed again.
+	sharesAge = 200 * time.Millisecond
+	// minRate is the rate in units per second below which usage is forgotten.
+	minRate = 1
+	// maxOwnKeys bounds the counters of an instance. Beyond it new workspaces are not counted until others are idle.
+	maxOwnKeys = 16384
+)
+
+// Remote is the usage of other instances.
+type Remote struct {
+	Usage    []Usage
+	At       time.Time // time that Usage is valid for
+	NewestAt time.Time // when the newest part was received; zero if nothing was
+}
+
+// Options configure a Tracker.
+type Options struct {
+	// Weight returns the weight of a workspace, above zero. If it is nil, all have the same.
+	Weight func(workspace uint32) float64
+}
+
+// Tracker holds the usage of this instance and what it knows of the others. It is safe for concurrent use.
+type Tracker struct {
+	weight func(uint32) float64
+
+	mu        sync.Mutex
+	startedAt time.Time // of the first request
+	own       map[Key]*counter
+	remote    Remote
+	shares    map[uint32]*serviceShares // by service
+	urgencies map[uint32]*urgencyCounts // by service
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker(o Options) *Tracker {
+	if o.Weight == nil {
+		o.Weight = func(uint32) float64 { return 1 }
+	}
+	return &Tracker{weight: o.Weight, own: map[Key]*counter{}, shares: map[uint32]*serviceShares{}, urgencies: map[uint32]*urgencyCounts{}}
+}
+
+// Record counts a request that was admitted or refused. cost is its work.
+func (t *Tracker) Record(k Key, cost float64, urgency int, admitted bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.startedAt.IsZero() {
+		t.startedAt = now
+	}
+	if t.urgencies[k.Service] == nil {
+		t.urgencies[k.Service] = &urgencyCounts{at: now}
+	}
+	t.urgencies[k.Service].record(urgency, !admitted, now)
+	c := t.own[k]
+	if c == nil {
+		if len(t.own) >= maxOwnKeys {
+			return
+		}
+		c = &counter{at: now}
+		t.own[k] = c
+	}
+	c.decayTo(now)
+	c.asked += cost
+	if admitted {
+		c.used += cost
+	}
+}
+
+// Own returns the usage of this instance, the largest first, and forgets idle workspaces.
+func (t *Tracker) Own(now time.Time) []Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Usage, 0, len(t.own))
+	for k, c := range t.own {
+		c.decayTo(now)
+		u := c.usage(k)
+		if u.Asked < minRate {
+			delete(t.own, k)
+			continue
+		}
+		out = append(out, u)
+	}
+	slices.SortFunc(out, Compare)
+	return out
+}
+
+func (c *counter) usage(k Key) Usage {
+	return Usage{Key: k, Asked: c.asked / timeConstant.Seconds(), Used: c.used / timeConstant.Seconds()}
+}
+
+// Compare orders usage by the work asked for, the largest first.
+func Compare(a, b Usage) int {
+	return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
+}
+
+// SetRemote replaces the usage of the other instances. It ignores an empty one: the last known usage is kept and decays.
+func (t *Tracker) SetRemote(r Remote) {
+	if r.NewestAt.IsZero() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remote = r
+}
+
+// Assess returns the standing of a workspace for a request with the given cost and urgency.
+func (t *Tracker) Assess(k Key, cost float64, urgency int, now time.Time) Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	age, heard := now.Sub(t.remote.NewestAt), !t.remote.NewestAt.IsZero()
+	if !heard {
+		age = -1
+	}
+	// An instance without messages must have counted for timeConstant: the first requests say little of the rates.
+	if !heard && (t.startedAt.IsZero() || now.Sub(t.startedAt) < timeConstant) {
+		out := neutral
+		out.Age = age
+		return out
+	}
+	s := t.shares[k.Service]
+	if s == nil || now.Sub(s.at) >= sharesAge {
+		s = newServiceShares(t.allUsage(k.Service, now), t.weight, now)
+		t.shares[k.Service] = s
+	}
+	out := s.standing(k.Workspace, t.weight(k.Workspace), cost)
+	out.Age = age
+	if c := t.urgencies[k.Service]; c != nil && out.Contended {
+		outranked, wronged := c.compare(urgency)
+		if wronged {
+			out.Scale = 1
+		}
+		if outranked {
+			out.Outranked, out.Scale, out.Benefit = true, minScale, 0
+		}
+	}
+	return out
+}
+
+// allUsage returns the usage of one service over all instances, by workspace.
+func (t *Tracker) allUsage(service uint32, now time.Time) map[uint32]Usage {
+	usage := map[uint32]Usage{}
+	add := func(u Usage) {
+		sum := usage[u.Workspace]
+		usage[u.Workspace] = Usage{Key: u.Key, Asked: sum.Asked + u.Asked, Used: sum.Used + u.Used}
+	}
+	for k, c := range t.own {
+		if k.Service == service {
+			c.decayTo(now)
+			add(c.usage(k))
+		}
+	}
+	if age := now.Sub(t.remote.At); age < MaxAge {
+		for _, u := range t.remote.Usage {
+			if u.Service == service {
+				add(u.Aged(age))
+			}
+		}
+	}
+	return usage
+}
