gateway: workspaces beyond their share are refused first

Cause: overload control does not know whose request it refuses. Change: with the contract 'pressure', instances exchange the usage of workspaces each second and ask workspaceshare beside overload.Decide. Other deployments are served as before: the service is nil and no message is sent.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -111,7 +111,7 @@
 		ColdRateFactor: s.ColdRateFactor, ColdRateSlack: s.ColdRateSlack,
 		RetryRatio: s.RetryRatio, RetryFloor: s.RetryFloor, RetryWindow: s.RetryWindow, InitialPrefillRate: initialPrefillRate,
 		RolloutTimeout: s.WeightsDeadline, LastResortTime: s.DrainTimeout - sendMargin, Metrics: scope,
-		Store: p.store, FirstStart: s.FirstStart,
+		Store: p.store, FirstStart: s.FirstStart, WorkspaceShares: s.HasContract(platform.ContractPressure),
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", Skip: gateway.IsUnmirrored, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	probeHolder uint64            // holder of the claim on probe
 	fetchedFrom string            // address of the store that the last shared part was fetched from, empty for none
 	forecast    *forecast         // nil if none was made
+	share       *shareLog         // share of the workspace; nil if none was computed
 	cacheSource string            // planned source of the cached parts, for the log
 	attempts    []attempt
 	// lastResort is set if the last chosen target has announced that it leaves, and no other could serve.
@@ -203,6 +204,6 @@
 		revision = rq.view.revision
 	}
 	klog.InfoS("request", "id", rq.call.ID, "route", route, "workspace", workspace, "outcome", rq.outcome, "status", rq.status,
-		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision,
+		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "share", rq.share, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision,
 		"resumes", rq.call.Resumes, "after", rq.call.LastEventID, "software", rq.pinned, "known_from", rq.pinSource)
 }
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -131,6 +131,7 @@
 		g.applyPeerLoads(total.Without(g.lastSent), total.Members, instances)
 	}
 	g.lastSent = message.Loads
+	g.state.shares.broadcast(conn, plan, g.sender, sequence, plan.IsHub && g.hierarchical.IsActiveHub(plan, g.sender, now), now)
 }
 
 // broadcastSums sends the sums of the failure domain to the other hubs and the sums of all instances to the members of the domain,
@@ -180,7 +181,7 @@
 		if err != nil {
 			return // closed at the end of Run
 		}
-		if g.state.grantService.handleDatagram(buffer[:n], from) || g.state.quarantine.handleDatagram(buffer[:n], from) || g.state.streams.handleDatagram(buffer[:n], from) {
+		if g.state.grantService.handleDatagram(buffer[:n], from) || g.state.quarantine.handleDatagram(buffer[:n], from) || g.state.streams.handleDatagram(buffer[:n], from) || g.state.shares.handleDatagram(buffer[:n], from) {
 			continue
 		}
 		message, err := loadshare.Parse(buffer[:n])
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -54,10 +54,10 @@
 	rq.forecast = &forecast{
 		BacklogTokens: rq.prefillBacklog(t), PrefillTokens: prefillTokens, HeldTokens: t.stats.HeldTokens(rq.urgency), MemoryWaitMs: milliseconds(memoryWait), FirstTokenMs: milliseconds(wait + prefillTime),
 	}
-	decision := overload.Decide(overload.Request{
+	decision := rq.decideByShare(rq.gateway.opts.State.shares, overload.Request{
 		QueueWait: wait, PrefillTime: prefillTime, Objective: rq.route.Objective, Remaining: rq.remaining(time.Now()), Priority: rq.route.Priority,
 		TargetIdle: t.stats.HeldTokens(routing.UrgencyLevels-1) == 0,
-	}, rq.rng)
+	}, prefillTokens)
 	if decision.Admit {
 		return nil
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -90,6 +90,7 @@
 	Dial       targetconn.Dial // opens connections to targets; nil: TCP
 	// InitialPrefillRate is the assumed prefill rate of engines in tokens per second, until the actual rate is learned.
 	InitialPrefillRate float64
+	WorkspaceShares    bool // while targets are overloaded, requests are refused by the shares of their workspaces
 }
 
 // State follows the metadata store and keeps the current view. It is safe for concurrent use.
@@ -101,6 +102,7 @@
 	grantService *grantService
 	quarantine   *quarantineService
 	streams      *streamService
+	shares       *shareService                         // nil if shares are off
 	grantorList  atomic.Pointer[[]targetlimit.Grantor] // instances that may issue grants, nil before the first OnChange
 
 	mu               sync.Mutex // guards the rest
@@ -133,7 +135,7 @@
 	}
 	s.grantService = newGrantService(s, o.Metrics)
 	s.quarantine = newQuarantineService(s, o.Metrics)
-	s.streams = newStreamService(s, o.Store, o.Metrics)
+	s.streams, s.shares = newStreamService(s, o.Store, o.Metrics), newShareService(o.WorkspaceShares, o.Metrics)
 	return s
 }
 
