workspaceshare: priority between shares, counted over all instances

Cause: counts of one instance are too few to compare the refusals of two kinds: with 68 instances the less urgent kind was refused 0.1 % and the more urgent one 82.9 % (TestUrgencyHoldsBetweenShares before this change). Change: requests by urgency travel in the usage messages under reserved numbers; a less urgent kind that is refused less often than 1.2 times a more urgent one loses the benefit of its share.

--- a/internal/loadshare/usage.go
+++ b/internal/loadshare/usage.go
@@ -105,7 +105,7 @@
 }
 
 // Split returns the fragments of the message, encoded. The MaxUsage workspaces with the most work asked for are in it, and the
-// others as workspace 0 of their service.
+// others as one sum for each service.
 func (m *UsageMessage) Split() [][]byte {
 	usage := boundUsage(m.Usage)
 	fragments := min(max((len(usage)+usagePerMessage-1)/usagePerMessage, 1), maxUsageFragments)
@@ -130,17 +130,16 @@
 	}
 	usage = slices.Clone(usage)
 	slices.SortFunc(usage, func(a, b workspaceshare.Usage) int {
-		// Workspace 0 is a sum already: it stays one.
-		return cmp.Or(cmp.Compare(isRest(b), isRest(a)), workspaceshare.Compare(a, b))
+		return cmp.Or(compareReserved(a, b), workspaceshare.Compare(a, b))
 	})
 	rest := map[uint32]workspaceshare.Usage{}
 	for _, u := range usage[MaxUsage:] {
 		sum := rest[u.Service]
-		rest[u.Service] = workspaceshare.Usage{Key: workspaceshare.Key{Service: u.Service}, Asked: sum.Asked + u.Asked, Used: sum.Used + u.Used}
+		rest[u.Service] = workspaceshare.Usage{Key: u.Rest(), Asked: sum.Asked + u.Asked, Used: sum.Used + u.Used}
 	}
 	out := usage[:MaxUsage:MaxUsage]
 	for i := range out {
-		if sum, ok := rest[out[i].Service]; ok && out[i].Workspace == 0 {
+		if sum, ok := rest[out[i].Service]; ok && out[i].Key == sum.Key {
 			out[i].Asked, out[i].Used = out[i].Asked+sum.Asked, out[i].Used+sum.Used
 			delete(rest, out[i].Service)
 		}
@@ -151,9 +150,13 @@
 	return out
 }
 
-func isRest(u workspaceshare.Usage) int {
-	if u.Workspace == 0 {
-		return 1
+// compareReserved orders reserved keys first.
+func compareReserved(a, b workspaceshare.Usage) int {
+	switch {
+	case a.Reserved() == b.Reserved():
+		return 0
+	case a.Reserved():
+		return -1
 	}
-	return 0
+	return 1
 }
--- a/internal/workspaceshare/fleet_test.go
+++ b/internal/workspaceshare/fleet_test.go
@@ -42,11 +42,11 @@
 
 // workspace is a caller of a simulated fleet.
 type workspace struct {
-	name                     string
-	rate                     float64 // work per second that it asks for
-	urgency                  int
-	requests, refused        int
-	asked, served, servedCut float64
+	name              string
+	rate              float64 // work per second that it asks for
+	urgency           int
+	requests, refused int
+	asked, served     float64
 }
 
 // fleet simulates instances in front of one service that works off a common queue, in virtual time.
@@ -91,6 +91,12 @@
 // run simulates the fleet and measures if measuring is set.
 func (f *fleet) run(d time.Duration, measuring bool) {
 	f.measuring = measuring
+	if measuring {
+		f.idle = 0
+		for _, w := range f.workspaces {
+			w.requests, w.refused, w.asked, w.served = 0, 0, 0, 0
+		}
+	}
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
 		f.step()
 	}
--- a/internal/workspaceshare/service.go
+++ b/internal/workspaceshare/service.go
@@ -27,13 +27,18 @@
 	level     float64          // share per unit of weight; infinite if capacity is sufficient
 	protected float64          // work asked for by workspaces inside their shares, as a fraction of capacity
 	benefit   float64          // 0 to 1, see fullBenefitExcess
+	urgencies urgencyUsage
 }
 
 // newServiceShares computes the shares from the usage of all instances. weight returns the weight of a workspace.
 func newServiceShares(usage map[uint32]Usage, weight func(uint32) float64, now time.Time) *serviceShares {
 	s := &serviceShares{at: now, usage: usage, level: math.Inf(1)}
-	rest := usage[0]
-	delete(usage, 0)
+	rest := usage[restWorkspace]
+	delete(usage, restWorkspace)
+	for u := range s.urgencies {
+		s.urgencies[u] = usage[urgencyWorkspace+uint32(u)]
+		delete(usage, urgencyWorkspace+uint32(u))
+	}
 	capacity, asked := rest.Used, rest.Asked
 	demands := make([]Demand, 0, len(usage))
 	for id, u := range usage {
--- a/internal/workspaceshare/tracker.go
+++ b/internal/workspaceshare/tracker.go
@@ -38,7 +38,6 @@
 	own       map[Key]*counter
 	remote    Remote
 	shares    map[uint32]*serviceShares // by service
-	urgencies map[uint32]*urgencyCounts // by service
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -46,7 +45,7 @@
 	if o.Weight == nil {
 		o.Weight = func(uint32) float64 { return 1 }
 	}
-	return &Tracker{weight: o.Weight, own: map[Key]*counter{}, shares: map[uint32]*serviceShares{}, urgencies: map[uint32]*urgencyCounts{}}
+	return &Tracker{weight: o.Weight, own: map[Key]*counter{}, shares: map[uint32]*serviceShares{}}
 }
 
 // Record counts a request that was admitted or refused. cost is its work.
@@ -56,10 +55,12 @@
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
-	if t.urgencies[k.Service] == nil {
-		t.urgencies[k.Service] = &urgencyCounts{at: now}
-	}
-	t.urgencies[k.Service].record(urgency, !admitted, now)
+	t.count(k, cost, admitted, now)
+	t.count(urgencyKey(k.Service, urgency), requestUnits, admitted, now)
+}
+
+// count adds to a counter. t.mu must be held.
+func (t *Tracker) count(k Key, cost float64, admitted bool, now time.Time) {
 	c := t.own[k]
 	if c == nil {
 		if len(t.own) >= maxOwnKeys {
@@ -133,8 +134,8 @@
 	}
 	out := s.standing(k.Workspace, t.weight(k.Workspace), cost)
 	out.Age = age
-	if c := t.urgencies[k.Service]; c != nil && out.Contended {
-		outranked, wronged := c.compare(urgency)
+	if out.Contended {
+		outranked, wronged := s.urgencies.compare(urgency)
 		if wronged {
 			out.Scale = 1
 		}
--- a/internal/workspaceshare/work.go
+++ b/internal/workspaceshare/work.go
@@ -25,12 +25,27 @@
 	return float64(max(prefill, 0)) + cachedTokenWork*float64(max(cached, 0)) + outputTokenWork*float64(max(output, 0))
 }
 
-// Key identifies a workspace at a service. Workspace 0 stands for all workspaces that a message leaves out.
+// Key identifies a workspace at a service, or something else that is counted there, see Reserved.
 type Key struct{ Service, Workspace uint32 }
 
+const (
+	// restWorkspace stands for all workspaces that a message leaves out.
+	restWorkspace = 0
+	// urgencyWorkspace + u stands for all requests of urgency u. Its usage is in thousandths of a request per second.
+	urgencyWorkspace = 1
+	// firstWorkspace is the first number of a workspace; below are the reserved ones.
+	firstWorkspace = 16
+)
+
+// Reserved reports whether the key does not stand for a single workspace. Messages never leave out reserved keys.
+func (k Key) Reserved() bool { return k.Workspace < firstWorkspace }
+
+// Rest returns the key of the workspaces of the same service that a message leaves out.
+func (k Key) Rest() Key { return Key{Service: k.Service, Workspace: restWorkspace} }
+
 // NewKey returns the key of a workspace at a service. Requests without a workspace share one key.
 func NewKey(service, workspace string) Key {
-	return Key{Service: uint32(xxhash.Sum64String(service)), Workspace: max(uint32(xxhash.Sum64String(workspace)), 1)}
+	return Key{Service: uint32(xxhash.Sum64String(service)), Workspace: max(uint32(xxhash.Sum64String(workspace)), firstWorkspace)}
 }
 
 // Usage is the work that a workspace asks for and gets, in units per second.
