--- a/internal/workspaceshare/faults_test.go
+++ b/internal/workspaceshare/faults_test.go
@@ -66,6 +66,8 @@
 	} {
 		for _, n := range []int{3, 12, 68} {
 			small, large := even(23, 0.95), &workspace{name: "large", rate: 3 * capacity / 24}
+			// Until instances know the others again, overload control alone decides: it refuses 7 to 8 %.
+			bounds := map[time.Duration]float64{10 * time.Second: 0.04, 50 * time.Second: 0.01}
 			if name == "large begins" {
 				large.rate /= 100
 			}
@@ -76,11 +78,30 @@
 				f.run(window, true)
 				refused := refusedFraction(small)
 				t.Logf("%s, %d instances, next %v: refused inside %.2f %%, large %.1f %%", name, n, window, 100*refused, 100*refusedFraction([]*workspace{large}))
+				if refused >= bounds[window] {
+					t.Errorf("%s, %d instances: refused %.4f of workspaces inside their shares in the next %v", name, n, refused, window)
+				}
 			}
 		}
 	}
 }
 
+// Guards against bounded messages that take workspaces they leave out for idle: 4,600 workspaces are nine times as many as fit.
+func TestManyWorkspaces(t *testing.T) {
+	small, large := even(4600, 0), &workspace{name: "large", rate: 0.4 * capacity}
+	for i, w := range small {
+		w.rate = 0.8 * capacity / 4600 * float64(1+i%3) / 2
+	}
+	f := newFleet(12, 8, append(small, large)...)
+	f.run(20*time.Second, false)
+	f.run(30*time.Second, true)
+	refused := refusedFraction(small)
+	t.Logf("refused inside %.2f %%, large %.1f %%, idle %.2f %%", 100*refused, 100*refusedFraction([]*workspace{large}), 100*f.idle/capacity/30)
+	if refused >= 0.01 {
+		t.Errorf("refused %.4f of workspaces inside their shares", refused)
+	}
+}
+
 // Guards against a less urgent kind being served more often than a more urgent one: because the workspace of the less urgent one
 // is inside its share, or because shares ignore kinds where all workspaces send both. In the second case workspaces inside their
 // shares must still be served.
