--- a/internal/workspaceshare/service.go
+++ b/internal/workspaceshare/service.go
@@ -1,9 +1,6 @@
 package workspaceshare
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 const (
 	// tolerance is the fraction by which a workspace may exceed its share and still count as inside it. It covers the
@@ -22,7 +19,6 @@
 
 // serviceShares is the state of the shares at one service at one time.
 type serviceShares struct {
-	at        time.Time
 	usage     map[uint32]Usage // by workspace
 	level     float64          // share per unit of weight; infinite if capacity is sufficient
 	protected float64          // work asked for by workspaces inside their shares, as a fraction of capacity
@@ -31,8 +27,8 @@
 }
 
 // newServiceShares computes the shares from the usage of all instances. weight returns the weight of a workspace.
-func newServiceShares(usage map[uint32]Usage, weight func(uint32) float64, now time.Time) *serviceShares {
-	s := &serviceShares{at: now, usage: usage, level: math.Inf(1)}
+func newServiceShares(usage map[uint32]Usage, weight func(uint32) float64) *serviceShares {
+	s := &serviceShares{usage: usage, level: math.Inf(1)}
 	rest := usage[restWorkspace]
 	delete(usage, restWorkspace)
 	for u := range s.urgencies {
--- a/internal/workspaceshare/tracker.go
+++ b/internal/workspaceshare/tracker.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// sharesAge is the age at which the shares of a service are computed again.
-	sharesAge = 200 * time.Millisecond
+	// sharesAge is the age at which the shares are computed again: a tenth of timeConstant, as it costs milliseconds with
+	// thousands of workspaces.
+	sharesAge = 500 * time.Millisecond
 	// minRate is the rate in units per second below which usage is forgotten.
 	minRate = 1
 	// maxOwnKeys bounds the counters of an instance. Beyond it new workspaces are not counted until others are idle.
@@ -38,6 +39,7 @@
 	own       map[Key]*counter
 	remote    Remote
 	shares    map[uint32]*serviceShares // by service
+	sharesAt  time.Time                 // when shares were computed
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -127,10 +129,12 @@
 		out.Age = age
 		return out
 	}
+	if now.Sub(t.sharesAt) >= sharesAge {
+		t.computeShares(now)
+	}
 	s := t.shares[k.Service]
-	if s == nil || now.Sub(s.at) >= sharesAge {
-		s = newServiceShares(t.allUsage(k.Service, now), t.weight, now)
-		t.shares[k.Service] = s
+	if s == nil {
+		s = newServiceShares(nil, t.weight) // nothing was known of the service when shares were computed
 	}
 	out := s.standing(k.Workspace, t.weight(k.Workspace), cost)
 	out.Age = age
@@ -146,25 +150,30 @@
 	return out
 }
 
-// allUsage returns the usage of one service over all instances, by workspace.
-func (t *Tracker) allUsage(service uint32, now time.Time) map[uint32]Usage {
-	usage := map[uint32]Usage{}
+// computeShares computes the shares of all services from the usage of all instances. t.mu must be held.
+func (t *Tracker) computeShares(now time.Time) {
+	usage := map[uint32]map[uint32]Usage{} // by service and workspace
 	add := func(u Usage) {
-		sum := usage[u.Workspace]
-		usage[u.Workspace] = Usage{Key: u.Key, Asked: sum.Asked + u.Asked, Used: sum.Used + u.Used}
+		byWorkspace := usage[u.Service]
+		if byWorkspace == nil {
+			byWorkspace = make(map[uint32]Usage, len(t.own))
+			usage[u.Service] = byWorkspace
+		}
+		sum := byWorkspace[u.Workspace]
+		byWorkspace[u.Workspace] = Usage{Key: u.Key, Asked: sum.Asked + u.Asked, Used: sum.Used + u.Used}
 	}
 	for k, c := range t.own {
-		if k.Service == service {
-			c.decayTo(now)
-			add(c.usage(k))
-		}
+		c.decayTo(now)
+		add(c.usage(k))
 	}
 	if age := now.Sub(t.remote.At); age < MaxAge {
 		for _, u := range t.remote.Usage {
-			if u.Service == service {
-				add(u.Aged(age))
-			}
+			add(u.Aged(age))
 		}
 	}
-	return usage
+	t.sharesAt = now
+	clear(t.shares)
+	for service, byWorkspace := range usage {
+		t.shares[service] = newServiceShares(byWorkspace, t.weight)
+	}
 }
