--- a/internal/workspaceshare/standing.go
+++ b/internal/workspaceshare/standing.go
@@ -14,7 +14,7 @@
 	maxReserve = 0.4
 	// relaxedRatio is the ratio of usage to share up to which a workspace that asks for more is not limited more strictly
 	// than without shares, and strictRatio the ratio from which minScale applies.
-	relaxedRatio = 0.75
+	relaxedRatio = 0.85
 	strictRatio  = 2.0
 	// maxDeadlineFraction is the fraction of the remaining time that a request with the full benefit may wait. The rest is
 	// for generating the response and for errors of the forecast.
