--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -88,7 +88,7 @@
 		others = s.tables.Total(plan.Hubs, now).Without(s.sent)
 	}
 	s.sent = own
-	s.workspaces.Update(float64(len(own)))
+	s.workspaces.Update(float64(workspaceshare.CountWorkspaces(own)))
 	s.tracker.SetRemote(workspaceshare.Remote{Usage: others.Usage, At: now, NewestAt: others.NewestAt})
 }
 
--- a/internal/loadshare/usage.go
+++ b/internal/loadshare/usage.go
@@ -27,8 +27,8 @@
 	usageGroup      = 6   // bytes of the header of the entries of one service
 	usageEntry      = 8   // bytes
 	usagePerMessage = 130 // on average; a fragment with a third more still fits into a usual MTU
-	// maxUsageFragments bounds a message to about 4.3 KB. A hub with 55 peers that sends one each second then needs a fifth
-	// of a link of 10 Mbit/s.
+	// maxUsageFragments bounds a message to about 4.3 KB. An active hub with 38 peers and 32 hubs of other domains that sends
+	// one each second then needs a quarter of a link of 10 Mbit/s.
 	maxUsageFragments = 4
 	// MaxUsage is the number of workspaces in a message. The others are summed up by service.
 	MaxUsage = maxUsageFragments * usagePerMessage
--- a/internal/workspaceshare/work.go
+++ b/internal/workspaceshare/work.go
@@ -55,6 +55,17 @@
 	Used  float64 // of those that were admitted
 }
 
+// CountWorkspaces returns the number of entries that stand for single workspaces at a service.
+func CountWorkspaces(usage []Usage) int {
+	n := 0
+	for _, u := range usage {
+		if !u.Reserved() {
+			n++
+		}
+	}
+	return n
+}
+
 const (
 	// timeConstant is the time constant of the exponential decay of counts. A workspace that triples its requests exceeds
 	// its share by the tolerance within half a second; with ten requests a second its measured rate varies by about 10 %.
