--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/egrethoist/egrethoist/internal/catalog"
+	"github.com/egrethoist/egrethoist/internal/delegate"
 	"github.com/egrethoist/egrethoist/internal/loadshare"
 	"github.com/egrethoist/egrethoist/internal/overload"
+	"github.com/egrethoist/egrethoist/internal/workspaceshare"
 )
 
 // pipeConn is a net.PacketConn that passes datagrams to another instance's shareService at once.
@@ -82,3 +87,54 @@
 		t.Error("shares are on by default, or a usage message is taken for a load message")
 	}
 }
+
+// networkConn delivers datagrams to the shareService at their address.
+type networkConn struct {
+	net.PacketConn
+	services map[string]*shareService
+}
+
+func (c networkConn) WriteTo(b []byte, a net.Addr) (int, error) {
+	c.services[a.String()].handleDatagram(b, a)
+	return len(b), nil
+}
+
+// Guards against usage that does not pass between failure domains, or counts an instance's own usage twice, where hubs sum it up.
+func TestUsagePassesOverHubs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conn := networkConn{services: map[string]*shareService{}}
+		var members []delegate.Member
+		for i := range 20 {
+			m := delegate.Member{Name: fmt.Sprint("g", i), Domain: fmt.Sprint("d", i%3), Address: fmt.Sprintf("10.0.0.%d:7100", i+1)}
+			members, conn.services[m.Address] = append(members, m), newShareService(true, nil)
+		}
+		asks := map[string]bool{} // the first instance that is no hub, and a hub of another failure domain
+		for _, m := range members {
+			if plan := loadshare.NewPlan(m, members); len(asks) == 0 && !plan.IsHub || len(asks) == 1 && plan.IsHub && m.Domain != members[0].Domain {
+				asks[m.Name] = true
+			}
+		}
+		for round := range uint64(6) {
+			for _, m := range members {
+				s, plan := conn.services[m.Address], loadshare.NewPlan(m, members)
+				if asks[m.Name] {
+					s.tracker.Record(workspaceshare.NewKey("s", "w"), 1000, 0, true, time.Now())
+				}
+				s.broadcast(conn, &plan, loadshare.SenderID(m.Name), round+1, plan.IsHub && plan.Hubs[0] == loadshare.SenderID(m.Name), time.Now())
+			}
+			time.Sleep(usagePeriod)
+		}
+		// Six requests of 1,000 units at each of two instances, one second apart, with a decay of 5 s. Usage of others is
+		// not decayed while it is fresh.
+		want := 0.0
+		for age := range 6 {
+			want += 2 * 1000 / 5 * math.Exp(-float64(age)/5)
+		}
+		for _, m := range members {
+			standing := conn.services[m.Address].tracker.Assess(workspaceshare.NewKey("s", "w"), 1000, 0, time.Now())
+			if standing.Asked < 0.75*want || standing.Asked > 1.01*want || standing.Contended {
+				t.Errorf("%s in %s: asked %.0f, want about %.0f: %+v", m.Name, m.Domain, standing.Asked, want, standing)
+			}
+		}
+	})
+}
