membudget: decisions on what an instance holds for slow readers

Nothing counts what an instance holds for callers that do not read. The package accounts bytes by connection, and says which requests are refused and which blocked connections are cut, by their time without progress.

--- /dev/null
+++ b/internal/membudget/membudget.go
@@ -0,0 +1,231 @@
+// Package membudget accounts what an instance holds in memory for its connections and decides what gives way when memory is short: which
+// requests are refused before they are sent anywhere, and which connections are cut because their peer does not read. It does no I/O and
+// reads no clock.
+package membudget
+
+import (
+	"container/list"
+	"time"
+)
+
+const (
+	// dataShare is the fraction of an instance's memory that the budget covers. The rest is for the program, its view of the metadata,
+	// garbage that is not collected yet, and the kernel's buffers of connections that are not blocked.
+	dataShare = 0.5
+	// shortShare is the fraction of the budget above which memory is short: connections that are not read give way.
+	shortShare = 0.75
+	// admitShare is the fraction of the budget up to which requests are admitted. The rest is for what admitted requests still need.
+	admitShare = 0.9
+	// targetStall is how long a caller may read nothing while a target waits for it. Targets cut an answer that stays unread for some
+	// seconds, so the limit is below three.
+	targetStall = 2500 * time.Millisecond
+	// callerStall is the same while no target waits. It is longer than any window update of a caller that still reads takes: a caller with
+	// full buffers acknowledges a read only once a segment of 1,460 bytes is free.
+	callerStall = 10 * time.Second
+	// shortStall is how long a connection must have been without progress to give way while memory is short. A caller that reads a little
+	// each second shows progress within it.
+	shortStall = 1500 * time.Millisecond
+)
+
+// ConnID identifies a connection of the budget.
+type ConnID uint64
+
+// Reason says why a connection is to be cut.
+type Reason uint8
+
+// Reasons for a cut.
+const (
+	Keep        Reason = iota // the connection is not to be cut
+	TargetWaits               // the caller reads nothing and the target would cut the answer
+	CallerStops               // the caller has read nothing for long
+	MemoryShort               // the caller reads nothing and memory is short
+)
+
+// String returns the reason as a label of metrics.
+func (r Reason) String() string {
+	return [...]string{"keep", "target_waits", "caller_stops", "memory_short"}[r]
+}
+
+// Budget is the account of one instance. It is not safe for concurrent use.
+type Budget struct {
+	limit     int64 // bytes
+	used      int64 // bytes, at most limit except for connections that were accepted above it
+	condemned int64 // bytes of used that belong to connections that are being cut
+	peak      int64 // largest value of used
+	conns     map[ConnID]*conn
+	blocked   *list.List // of *conn, longest without progress first
+}
+
+// conn is one connection.
+type conn struct {
+	id         ConnID
+	held       int64         // bytes
+	element    *list.Element // in Budget.blocked; nil while writes are not blocked
+	progressAt time.Time     // when the peer last read something, or the blocked write began
+	kernel     int64         // bytes of held for the kernel's buffer of a blocked connection
+	cut        bool
+}
+
+// New returns the budget of an instance with the given memory in bytes; zero or less means that it is unlimited.
+func New(memoryBytes int64) *Budget {
+	b := &Budget{limit: int64(dataShare * float64(memoryBytes)), conns: map[ConnID]*conn{}, blocked: list.New()}
+	if memoryBytes <= 0 {
+		b.limit = 1 << 62
+	}
+	return b
+}
+
+// Limit returns the bytes that the budget covers.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Used returns the bytes that are held now.
+func (b *Budget) Used() int64 { return b.used }
+
+// Peak returns the most bytes that were ever held.
+func (b *Budget) Peak() int64 { return b.peak }
+
+// Blocked returns the number of connections whose peer does not read at present.
+func (b *Budget) Blocked() int { return b.blocked.Len() }
+
+// Open adds a connection that holds bytes from now on. It is counted even above the limit, since it was accepted already.
+func (b *Budget) Open(id ConnID, bytes int64) {
+	c := &conn{id: id}
+	b.conns[id] = c
+	b.add(c, bytes)
+}
+
+// Close removes a connection with all that it holds.
+func (b *Budget) Close(id ConnID) {
+	if c := b.conns[id]; c != nil {
+		b.unblock(c)
+		b.add(c, -c.held)
+		delete(b.conns, id)
+	}
+}
+
+// Admit reserves bytes for a new request of a connection. It returns false if the request must be refused.
+func (b *Budget) Admit(id ConnID, bytes int64) bool {
+	return b.reserve(id, bytes, int64(admitShare*float64(b.limit)))
+}
+
+// Grow reserves further bytes for an admitted request. It returns false if they are not available.
+func (b *Budget) Grow(id ConnID, bytes int64) bool { return b.reserve(id, bytes, b.limit) }
+
+// Fits reports whether a request of this many bytes could ever be admitted.
+func (b *Budget) Fits(bytes int64) bool { return bytes <= int64(admitShare*float64(b.limit)) }
+
+func (b *Budget) reserve(id ConnID, bytes, limit int64) bool {
+	c := b.conns[id]
+	if c == nil || c.cut || bytes > limit-b.used {
+		return false
+	}
+	b.add(c, bytes)
+	return true
+}
+
+// Release returns bytes that a connection no longer holds.
+func (b *Budget) Release(id ConnID, bytes int64) {
+	if c := b.conns[id]; c != nil {
+		b.add(c, -min(bytes, c.held-c.kernel))
+	}
+}
+
+// add changes what a connection holds.
+func (b *Budget) add(c *conn, bytes int64) {
+	c.held += bytes
+	b.used += bytes
+	if c.cut {
+		b.condemned += bytes
+	}
+	b.peak = max(b.peak, b.used)
+}
+
+// Stall is the state of a write that the peer does not take.
+type Stall struct {
+	Since       time.Time // beginning of the write
+	Progressed  bool      // the peer has read something since the last call
+	TargetWaits bool      // the answer's target waits until the peer reads
+	KernelBytes int64     // what the kernel holds of the unread answer, in bytes
+}
+
+// RecordStall records that a write to the peer is blocked, and returns whether the connection is to be cut now. It must be called again
+// every few hundred milliseconds while the write lasts.
+func (b *Budget) RecordStall(id ConnID, s Stall, now time.Time) Reason {
+	c := b.conns[id]
+	switch {
+	case c == nil:
+		return Keep
+	case c.cut:
+		return MemoryShort
+	case c.element == nil:
+		c.progressAt = s.Since
+		b.insert(c)
+	}
+	if s.Progressed {
+		c.progressAt = now
+		b.blocked.MoveToBack(c.element)
+	}
+	// If the kernel's buffer can't be accounted now, Victims makes room and the next call accounts it.
+	if c.kernel == 0 && s.KernelBytes <= b.limit-b.used {
+		c.kernel = s.KernelBytes
+		b.add(c, c.kernel)
+	}
+	switch stalled := now.Sub(c.progressAt); {
+	case s.TargetWaits && stalled >= targetStall:
+		b.condemn(c)
+		return TargetWaits
+	case stalled >= callerStall:
+		b.condemn(c)
+		return CallerStops
+	}
+	return Keep
+}
+
+// insert adds a connection to the blocked ones, ordered by the time without progress.
+func (b *Budget) insert(c *conn) {
+	for e := b.blocked.Back(); e != nil; e = e.Prev() {
+		if !e.Value.(*conn).progressAt.After(c.progressAt) {
+			c.element = b.blocked.InsertAfter(c, e)
+			return
+		}
+	}
+	c.element = b.blocked.PushFront(c)
+}
+
+// RecordWritten records that the blocked write of a connection has ended.
+func (b *Budget) RecordWritten(id ConnID) {
+	if c := b.conns[id]; c != nil && c.element != nil {
+		b.unblock(c)
+		b.add(c, -c.kernel)
+		c.kernel = 0
+	}
+}
+
+func (b *Budget) unblock(c *conn) {
+	if c.element != nil {
+		b.blocked.Remove(c.element)
+		c.element = nil
+	}
+}
+
+func (b *Budget) condemn(c *conn) {
+	c.cut = true
+	b.condemned += c.held
+	b.unblock(c)
+}
+
+// Victims returns the connections to cut now because memory is short: those without progress for the longest time first, and none that
+// has made progress within shortStall. What they hold becomes free when they are closed. Each connection is returned once.
+func (b *Budget) Victims(now time.Time) []ConnID {
+	var out []ConnID
+	for float64(b.used-b.condemned) > shortShare*float64(b.limit) {
+		front := b.blocked.Front()
+		if front == nil || now.Sub(front.Value.(*conn).progressAt) < shortStall {
+			break
+		}
+		c := front.Value.(*conn)
+		b.condemn(c)
+		out = append(out, c.id)
+	}
+	return out
+}
