--- a/cmd/egretctl/main.go
+++ b/cmd/egretctl/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	env := egretctl.Env{Stdout: os.Stdout, Stderr: os.Stderr, Dial: dial, DialStore: dialStore}
+	env := egretctl.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Dial: dial, DialStore: dialStore}
 	os.Exit(egretctl.Run(env, os.Args[1:]))
 }
 
--- a/internal/egretctl/egretctl.go
+++ b/internal/egretctl/egretctl.go
@@ -37,6 +37,7 @@
 
 // Env is what the command line works on.
 type Env struct {
+	Stdin  io.Reader // check
 	Stdout io.Writer
 	Stderr io.Writer
 	// Dial reaches the key-value service; without keys in plain HTTP.
@@ -64,6 +65,7 @@
 	roles   []string // keys
 	logs    []string // rereads
 	store   string   // quarantines, lift, software
+	against string   // check
 	model   string   // lift
 	parts   string   // lift
 
@@ -139,6 +141,9 @@
 	lift.AddPositionalValue(&c.parts, "PART", 1, true, "ID of the part, as listed; several that are listed as one are joined by +")
 	software := add("software", "list the software versions at which streams begin", c.software)
 	software.String(&c.store, "", "store", "IP:port of the platform's metadata store")
+	check := add("check", "check a configuration of the users' platform before it is sent", c.check)
+	check.AddPositionalValue(&c.file, "FILE", 1, false, "configuration, JSON; - or none: standard input")
+	check.String(&c.against, "", "against", "configuration in force: tell what differs from it")
 	for _, s := range []*flaggy.Subcommand{
 		add("drain", "take a failure-domain or target out", func(ctx context.Context) error { return c.setDrained(ctx, true) }),
 		add("return", "bring a failure-domain or target back", func(ctx context.Context) error { return c.setDrained(ctx, false) }),
@@ -147,7 +152,7 @@
 		s.AddPositionalValue(&c.name, "NAME", 2, true, "name in the manifest")
 		change(s)
 	}
-	if err := p.ParseArgs(args); err != nil {
+	if err := p.ParseArgs(replaceDash(args)); err != nil {
 		return usage("%v", err)
 	}
 	for s, action := range subs {
@@ -225,7 +230,7 @@
 		f.Faults = invalid.List
 	}
 	if c.output == "json" {
-		if f.Code != ExitDifferent {
+		if !isReported(err) {
 			c.printJSON(f)
 		}
 		return f.Code
