gateway: a request counts as usage by its last decision

Cause: a request admitted for one target, denied a grant there and refused for the next one stayed counted as admitted. Change: the earlier count is revoked. Measured: TestRequestCountsByItsLastDecision; tests of gateway, workspaceshare and TestWorkspacesInsideTheirShareAreServed pass.

--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -118,6 +118,8 @@
 	Inside    bool    `json:"inside"`
 	Outranked bool    `json:"outranked,omitempty"` // more urgent requests were served less often
 	Outcome   string  `json:"outcome,omitempty"`   // what the share changed
+
+	admittedCost float64 // work counted as admitted
 }
 
 func newShareLog(s workspaceshare.Standing, d workspaceshare.Decision) *shareLog {
@@ -137,7 +139,7 @@
 }
 
 // decideByShare decides whether a request is admitted, by overload control and by the share of its workspace. The
-// request is counted as usage once; the target may be chosen several times.
+// request is counted as usage once, by its last decision if several targets are considered.
 func (rq *request) decideByShare(s *shareService, r overload.Request, prefillTokens int) overload.Decision {
 	if s == nil {
 		return overload.Decide(r, rq.rng)
@@ -155,12 +157,18 @@
 		control := overload.Decide(r, rq.rng)
 		return control.Admit, control.RetryAfter
 	}, rq.rng)
-	if rq.share == nil || !d.Admit {
-		s.record(standing, d)
-		if rq.share == nil {
-			s.tracker.Record(key, cost, urgency, d.Admit, now)
-		}
-		rq.share = newShareLog(standing, d)
+	switch {
+	case rq.share == nil:
+		s.tracker.Record(key, cost, urgency, d.Admit, now)
+	case d.Admit:
+		return overload.Decision{Admit: true} // counted already for another target
+	default:
+		s.tracker.Revoke(key, rq.share.admittedCost, urgency)
+	}
+	s.record(standing, d)
+	rq.share = newShareLog(standing, d)
+	if d.Admit {
+		rq.share.admittedCost = cost
 	}
 	return overload.Decision{Admit: d.Admit, RetryAfter: d.RetryAfter}
 }
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -43,49 +43,68 @@
 // Guards against an instance that decides by its own counts alone: what one instance sees of a workspace must decide at another
 // one, and a workspace inside its share must not pay for it.
 func TestUsageOfOtherInstancesDecides(t *testing.T) {
-	here, there := newShareService(true, nil), newShareService(true, nil)
-	plan := &loadshare.Plan{Direct: true, OwnRecipients: []string{"127.0.0.1:1"}}
-	for range 100 { // the large workspace asks at the other instance and gets two thirds
-		shareRequest("large").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
-		shareRequest("large").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
-		shareRequest("large").decideByShare(there, overload.Request{QueueWait: time.Minute, Objective: time.Second, Remaining: time.Second}, 1000)
-	}
-	for range 30 {
-		shareRequest("small").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
-	}
-	now := time.Now()
-	there.broadcast(pipeConn{to: here}, plan, 1, 1, false, now)
-	here.broadcast(pipeConn{to: there}, plan, 2, 1, false, now)
-	small, large := shareRequest("small"), shareRequest("large")
-	if d := small.decideByShare(here, overloaded, 1000); !d.Admit || small.share.Outcome != "admitted inside share" {
-		t.Errorf("workspace inside its share: %+v, share %+v", d, small.share)
-	}
-	for range 200 { // the refused part of the large one must not be admitted here instead
-		large = shareRequest("large")
-		if d := large.decideByShare(here, overloaded, 1000); d.Admit || d.RetryAfter <= 0 || d.RetryAfter > overloaded.Remaining/3 {
-			t.Fatalf("workspace beyond its share: %+v, share %+v", d, large.share)
+	synctest.Test(t, func(t *testing.T) {
+		here, there := newShareService(true, nil), newShareService(true, nil)
+		plan := &loadshare.Plan{Direct: true, OwnRecipients: []string{"127.0.0.1:1"}}
+		for range 100 { // the large workspace asks at the other instance and gets two thirds
+			shareRequest("large").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
+			shareRequest("large").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
+			shareRequest("large").decideByShare(there, overload.Request{QueueWait: time.Minute, Objective: time.Second, Remaining: time.Second}, 1000)
 		}
-	}
-	if large.share.Share <= 0 || large.share.AgeMs < 0 || large.share.Asked <= large.share.Share {
-		t.Errorf("log fields %+v", large.share)
-	}
+		for range 30 {
+			shareRequest("small").decideByShare(there, overload.Request{Objective: time.Second, Remaining: time.Second}, 1000)
+		}
+		now := time.Now()
+		there.broadcast(pipeConn{to: here}, plan, 1, 1, false, now)
+		here.broadcast(pipeConn{to: there}, plan, 2, 1, false, now)
+		small, large := shareRequest("small"), shareRequest("large")
+		if d := small.decideByShare(here, overloaded, 1000); !d.Admit || small.share.Outcome != "admitted inside share" {
+			t.Errorf("workspace inside its share: %+v, share %+v", d, small.share)
+		}
+		for range 200 { // the refused part of the large one must not be admitted here instead
+			large = shareRequest("large")
+			if d := large.decideByShare(here, overloaded, 1000); d.Admit || d.RetryAfter <= 0 || d.RetryAfter > overloaded.Remaining/3 {
+				t.Fatalf("workspace beyond its share: %+v, share %+v", d, large.share)
+			}
+		}
+		if large.share.Share <= 0 || large.share.AgeMs < 0 || large.share.Asked <= large.share.Share {
+			t.Errorf("log fields %+v", large.share)
+		}
+	})
 }
 
 // Guards against an instance that knows nothing deciding by shares, and against shares without the contract.
 func TestSharesChangeNothingWithoutKnowledge(t *testing.T) {
-	for _, s := range []*shareService{nil, newShareService(true, nil)} {
-		for range 20 {
-			if d := shareRequest("w").decideByShare(s, busy, 1000); !d.Admit {
-				t.Fatalf("refused within the limit of overload control: %+v", d)
+	synctest.Test(t, func(t *testing.T) {
+		for _, s := range []*shareService{nil, newShareService(true, nil)} {
+			for range 20 {
+				if d := shareRequest("w").decideByShare(s, busy, 1000); !d.Admit {
+					t.Fatalf("refused within the limit of overload control: %+v", d)
+				}
+				if d := shareRequest("w").decideByShare(s, overloaded, 1000); d.Admit {
+					t.Fatal("admitted beyond the limit of overload control")
+				}
 			}
-			if d := shareRequest("w").decideByShare(s, overloaded, 1000); d.Admit {
-				t.Fatal("admitted beyond the limit of overload control")
+		}
+		if NewState(StateOptions{}).shares != nil || !(*shareService)(nil).handleDatagram((&loadshare.UsageMessage{}).Split()[0], nil) {
+			t.Error("shares are on by default, or a usage message is taken for a load message")
+		}
+	})
+}
+
+// Guards against a request that counts as admitted although a later target refused it, or counts twice.
+func TestRequestCountsByItsLastDecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, rq := newShareService(true, nil), shareRequest("w")
+		for _, r := range []overload.Request{busy, busy, overloaded} {
+			rq.decideByShare(s, r, 1000)
+		}
+		for _, u := range s.tracker.Own(time.Now()) {
+			if u.Asked > 200 || u.Asked < 190 || u.Used != 0 { // 1,000 units over 5 s, by workspace and by urgency
+				t.Errorf("usage %+v", u)
 			}
 		}
-	}
-	if NewState(StateOptions{}).shares != nil || !(*shareService)(nil).handleDatagram((&loadshare.UsageMessage{}).Split()[0], nil) {
-		t.Error("shares are on by default, or a usage message is taken for a load message")
-	}
+	})
 }
 
 // networkConn delivers datagrams to the shareService at their address.
--- a/internal/workspaceshare/tracker.go
+++ b/internal/workspaceshare/tracker.go
@@ -61,6 +61,18 @@
 	t.count(urgencyKey(k.Service, urgency), requestUnits, admitted, now)
 }
 
+// Revoke takes back that a request was admitted: another decision refused it shortly afterwards.
+func (t *Tracker) Revoke(k Key, cost float64, urgency int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.own[k]; c != nil {
+		c.used = max(c.used-cost, 0)
+	}
+	if c := t.own[urgencyKey(k.Service, urgency)]; c != nil {
+		c.used = max(c.used-requestUnits, 0)
+	}
+}
+
 // count adds to a counter. t.mu must be held.
 func (t *Tracker) count(k Key, cost float64, admitted bool, now time.Time) {
 	c := t.own[k]
