--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -27,6 +27,7 @@
 	Parts       []Part // of the prompt, in order; no other request has the last one
 	PromptTotal int    // tokens of the prompt
 	OutputLimit int    // maximum output tokens
+	OutputHint  int    // the caller's estimate of the output tokens; zero if unspecified
 	LastEventID uint64 // last event received of a stream that the caller resumes; zero for a new one
 	Resumes     string // ID of the caller's attempt that received the first event of that stream; empty if unspecified
 }
@@ -80,6 +81,8 @@
 	Running       int    // requests
 	Waiting       int    // queued requests
 	Slots         int    // requests that the target runs at once
+	// Speed is how many times as long as usual work takes at the target now: 1 is as usual. Zero if the target does not say.
+	Speed float64
 }
 
 // Protocol translates between the platform's headers and this package's types.
