gateway: speed of targets from any answer; changes of the mode are logged

The speed was taken from answers to requests only, so that it was old for targets with few of them. It is now part of Notice and also read from reports on request; not from long polls, whose head may be as old as the poll. The line 'forecast by the speed of targets changed' tells when a service begins or ceases to be served by it.

--- a/internal/forecast/difference.go
+++ b/internal/forecast/difference.go
@@ -29,6 +29,7 @@
 // ratio better than the mean of the service does. Targets that are equal give a negative gain.
 type differences struct {
 	reported     bool      // a target has reported its speed
+	told         bool      // last result of ActiveChanged
 	evidentUntil time.Time // targets were learned to differ; zero if they never were
 	center       float64   // decayed mean of the logarithm of the ratios
 	samples      float64
@@ -91,6 +92,15 @@
 	return s.diff.reported || now.Before(s.diff.evidentUntil)
 }
 
+// ActiveChanged returns what Active does, and whether that has changed since the last call.
+func (s *Service) ActiveChanged(now time.Time) (active, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active = s.diff.reported || now.Before(s.diff.evidentUntil)
+	changed, s.diff.told = active != s.diff.told, active
+	return active, changed
+}
+
 // Slowdown returns the slowdown of a target as Target.Slowdown does. While the service is not active it is 1.
 func (s *Service) Slowdown(t *Target, now time.Time) (slowdown float64, age time.Duration) {
 	s.mu.Lock()
--- a/internal/forecast/target_test.go
+++ b/internal/forecast/target_test.go
@@ -24,6 +24,12 @@
 			t.Errorf("%.3f at an age of %v after %v, want %.2f to %.2f", slowdown, age, test.age, test.min, test.max)
 		}
 	}
+	if active, changed := s.ActiveChanged(start); !active || !changed {
+		t.Error("the begin of the activity is not told")
+	}
+	if active, changed := s.ActiveChanged(start); !active || changed {
+		t.Error("the begin of the activity is told twice")
+	}
 	if !s.Active(start.Add(time.Hour)) {
 		t.Error("a service whose targets report their speed is no longer active")
 	}
--- a/internal/gateway/forecast.go
+++ b/internal/gateway/forecast.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/catalog"
 	"github.com/egrethoist/egrethoist/internal/forecast"
@@ -124,6 +125,11 @@
 		o.request.gateway.metrics.forecast.record(took, o.predicted)
 	}
 	service.AddRatio(&o.target.speed, service.AddFirst(o.work, took), false, now)
+	if active, changed := service.ActiveChanged(now); changed {
+		slowdown, age := service.Slowdown(&o.target.speed, now)
+		klog.InfoS("forecast by the speed of targets changed", "service", o.request.service.Name, "active", active, "target", o.target.id,
+			"slow", slowdown, "reported", age >= 0, "prefill_rate", int(service.PrefillRate()))
+	}
 }
 
 // ended records the end of an answer that was served.
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -241,6 +241,7 @@
 		}
 		plan := c.pollPlan(readers)
 		e, err := c.engines.StoreEvents(ctx, t.address, next, plan.wait)
+		e.Speed = 0 // may be that of the begin of the long poll
 		c.state.observeNotice(t, e.Notice, e.Born, time.Now())
 		if err != nil {
 			failures++
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -46,6 +46,7 @@
 		s.observeLeaving(t, now)
 	}
 	s.observeLimit(t.limit, n.Limit, now)
+	t.speed.Report(n.Speed, now)
 	switch {
 	case n.Pause > 0:
 		s.observePause(t, n.Pause, now)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -52,6 +52,8 @@
 	Leaving bool          // the target is leaving, even if its record does not say so yet
 	Pause   time.Duration // time for which this instance must not send it anything; zero: no pause
 	Limit   RateLimit
+	// Speed is how many times as long as usual work takes at the target now: 1 is as usual. Zero if the target does not say.
+	Speed float64
 }
 
 // RateLimit is the rate limit in an answer of a target. The zero value means that nothing is known, as without an answer.
@@ -81,8 +83,6 @@
 	Running       int    // requests
 	Waiting       int    // queued requests
 	Slots         int    // requests that the target runs at once
-	// Speed is how many times as long as usual work takes at the target now: 1 is as usual. Zero if the target does not say.
-	Speed float64
 }
 
 // Protocol translates between the platform's headers and this package's types.
