--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,7 +54,7 @@
 
 // New returns a gateway with the given options.
 func New(o Options) *Gateway {
-	scorer := routing.NewTimeScorer(routing.ScorerOptions{StallTolerance: stallTolerance})
+	scorer := routing.NewTimeScorer(routing.ScorerOptions{StallTolerance: stallTolerance, WholeAnswer: true})
 	filters := append(routing.Filters{routing.RegionFilter{}}, routing.DefaultFilters()...)
 	return &Gateway{
 		opts:    o,
@@ -113,7 +113,7 @@
 	probe       []quarantine.Part // suspected parts that this request probes, nil if none
 	probeHolder uint64            // holder of the claim on probe
 	fetchedFrom string            // address of the store that the last shared part was fetched from, empty for none
-	forecast    *forecast         // nil if none was made
+	forecast    *forecastLog      // nil if none was made
 	share       *shareLog         // share of the workspace; nil if none was computed
 	cacheSource string            // planned source of the cached parts, for the log
 	attempts    []attempt
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -263,6 +263,7 @@
 		return
 	}
 	scale := max(float64(instances)/float64(max(reporting, 1)), 1)
+	now := time.Now()
 	byTarget := make(map[uint64]*routing.PeerLoad, len(loads))
 	for _, l := range loads {
 		load := byTarget[l.Target]
@@ -285,6 +286,7 @@
 			} else {
 				t.stats.SetPeerLoad(noLoad)
 			}
+			t.speed.ObservePrefill(t.stats.PendingTokens(routing.UrgencyLevels-1) > 0, now)
 		}
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -27,6 +27,7 @@
 	Parts       []Part // of the prompt, in order; no other request has the last one
 	PromptTotal int    // tokens of the prompt
 	OutputLimit int    // maximum output tokens
+	OutputHint  int    // the caller's estimate of the output tokens; zero if unspecified
 	LastEventID uint64 // last event received of a stream that the caller resumes; zero for a new one
 	Resumes     string // ID of the caller's attempt that received the first event of that stream; empty if unspecified
 }
@@ -51,6 +52,8 @@
 	Leaving bool          // the target is leaving, even if its record does not say so yet
 	Pause   time.Duration // time for which this instance must not send it anything; zero: no pause
 	Limit   RateLimit
+	// Speed is how many times as long as usual work takes at the target now: 1 is as usual. Zero if the target does not say.
+	Speed float64
 }
 
 // RateLimit is the rate limit in an answer of a target. The zero value means that nothing is known, as without an answer.
