--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -42,8 +42,8 @@
 }
 
 // checkOverload returns an overloadError if the request is to be shed because the target would answer too late. It records the
-// forecast. Retried and resumed requests are never shed. The learned forecast does not decide here: it takes the wait for planned memory for
-// as short as it mostly is, and admission by it filled the memory of targets until they preempted requests.
+// forecast. Retried and resumed requests are never shed. Once learned, the forecast does not decide here: it takes the wait for planned
+// memory for as short as it mostly is, and admission by it filled the memory of targets until they preempted requests.
 func (rq *request) checkOverload(s *routing.ScoredCandidate) error {
 	if rq.service.Engine == nil || len(rq.attempts) > 0 || rq.lastEventID > 0 {
 		return nil // the request has been admitted already
@@ -55,6 +55,9 @@
 		BacklogTokens: rq.prefillBacklog(t), PrefillTokens: prefillTokens, HeldTokens: t.stats.HeldTokens(rq.urgency), MemoryWaitMs: milliseconds(memoryWait), FirstTokenMs: milliseconds(wait + prefillTime),
 	}
 	rq.predict(t, now)
+	if rq.forecast.Active && !rq.forecast.Learned {
+		return nil // the defaults refuse nothing
+	}
 	decision := rq.decideByShare(rq.gateway.opts.State.shares, overload.Request{
 		QueueWait: wait, PrefillTime: prefillTime, Objective: rq.route.Objective, Remaining: rq.remaining(now), Priority: rq.route.Priority,
 		TargetIdle: t.stats.HeldTokens(routing.UrgencyLevels-1) == 0,
