--- a/internal/egretctl/egretctl.go
+++ b/internal/egretctl/egretctl.go
@@ -63,7 +63,7 @@
 	dir     string   // keys
 	roles   []string // keys
 	logs    []string // rereads
-	store   string   // quarantines, lift, software
+	store   string   // quarantines, lift, software, rollout
 	model   string   // lift
 	parts   string   // lift
 
@@ -139,6 +139,8 @@
 	lift.AddPositionalValue(&c.parts, "PART", 1, true, "ID of the part, as listed; several that are listed as one are joined by +")
 	software := add("software", "list the software versions at which streams begin", c.software)
 	software.String(&c.store, "", "store", "IP:port of the platform's metadata store")
+	rollout := add("rollout", "show the rollout of each service's software: order, state, share, evidence and reason", c.rollout)
+	rollout.String(&c.store, "", "store", "IP:port of the platform's metadata store")
 	for _, s := range []*flaggy.Subcommand{
 		add("drain", "take a failure-domain or target out", func(ctx context.Context) error { return c.setDrained(ctx, true) }),
 		add("return", "bring a failure-domain or target back", func(ctx context.Context) error { return c.setDrained(ctx, false) }),
