soak: rollouts of good and bad software versions (breaks ROLLOUT without internal/canary and the gateway's part)

A new fault orders a version of a plain service, starts its targets beside the old ones, stops the old ones at done and drains the new ones at rolled_back. The ledger judges the exposure to bad versions, the time of the rollback, the end of each order, and requests after it; eight cases in TestCheckerReportsRollouts.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -81,6 +81,7 @@
 	{"records that cannot be read", 1, (*fleet).writeInvalidRecords},
 	{"engines' software released", 8, (*fleet).releaseSoftware},
 	{"all instances killed", 2, (*fleet).killInstances},
+	{"software rolled out", 12, (*fleet).rollOutSoftware},
 }
 
 const (
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -38,7 +38,7 @@
 var bounds = standin.Bounds{
 	Drain: 2 * time.Second, StopTimeout: 6 * time.Second, ConfigApply: 2 * time.Second, Evacuate: 3 * time.Second, LeaseTTL: 2 * time.Second,
 	Weights: 7 * time.Second, RecoveryTime: 2 * time.Second, RetryRatio: 0.2, RetryFloor: 20, RetryWindow: 10 * time.Second,
-	ColdRateFactor: 1.5, ColdRateSlack: 5,
+	ColdRateFactor: 1.5, ColdRateSlack: 5, Contracts: "rollout", ExposeShare: 0.1, ExposeSlack: 10, Rollback: 5 * time.Second,
 }
 
 const (
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -65,6 +65,7 @@
 	violations      []violation              // at most maxTextsPerRule of each rule
 	violationCounts map[string]int           // by rule
 	deadly          map[string]*deadlyRecord // by part
+	rollouts        []*rollout               // that have ended
 	takeUps, wentOn int                      // attempts to resume a stream for a verdict, and those that received an event; set by checkResumed
 }
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -326,3 +326,48 @@
 		}
 	}
 }
+
+// Guards against undetected violations of the bounds of rollouts: each case is the end of one rollout with requests that reached its targets.
+func TestCheckerReportsRollouts(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		bad             bool
+		state           string
+		took            time.Duration
+		exposed, others int
+		late            time.Duration // of the last exposed request, from the order
+		violated        bool
+	}{
+		{"good, done", false, "done", 4 * time.Second, 200, 100, time.Second, false},
+		{"good, never done", false, "running", rolloutRamp + rolloutLateness, 20, 100, time.Second, true},
+		{"good, rolled back", false, "rolled_back", time.Second, 20, 100, 0, true},
+		{"bad, rolled back", true, "rolled_back", 2 * time.Second, 55, 500, time.Second, false},
+		{"bad, done", true, "done", 2 * time.Second, 55, 500, time.Second, true},
+		{"bad, too many requests", true, "rolled_back", 2 * time.Second, 70, 500, time.Second, true},
+		{"bad, late request", true, "rolled_back", 2 * time.Second, 55, 500, bounds.Rollback + time.Second, true},
+		{"new request after the rollback", true, "rolled_back", 2 * time.Second, 10, 100, 3 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newFixture(t)
+			ordered := time.Now().Add(-time.Minute)
+			s.recordRollout(&rollout{version: "v2", bad: c.bad, new: map[string]bool{"new": true}, ordered: ordered, ended: ordered.Add(c.took), state: c.state})
+			for i := range c.exposed + c.others {
+				a := s.send("book", string(rune('a'+i)))
+				r := s.runOf(a, "old")
+				r.At = ordered.Add(time.Second / 2)
+				if i < c.exposed {
+					r.Target = "new"
+				}
+				if i == c.exposed-1 && c.late > 0 {
+					r.At = ordered.Add(c.late)
+				}
+				a.sent = r.At
+				s.Arrived(r)
+			}
+			s.checkRollouts()
+			if got := s.violationCounts["ROLLOUT"] > 0; got != c.violated || len(s.violationCounts) > 1 {
+				t.Errorf("violations %v", s.violations)
+			}
+		})
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -102,6 +102,7 @@
 	f.checker.checkRetryBudget()
 	f.checker.checkColdRate()
 	f.checker.checkResumed()
+	f.checker.checkRollouts()
 	latest, requested := f.history.latestWeightVersion()
 	since := time.Now().Add(-bounds.Weights)
 	overdue := requested.Before(since) && f.disturbances.allUndisturbed(since, time.Now())
