--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -53,7 +53,8 @@
 type Record struct {
 	Order      uint64     `json:"order"` // revision of the order
 	Target     string     `json:"target"`
-	Old        []string   `json:"old"` // versions that the target version replaces
+	Old        []string   `json:"old"`                 // versions that the target version replaces
+	Abandoned  []string   `json:"abandoned,omitempty"` // target versions of earlier orders that were given up for this one
 	Phase      Phase      `json:"phase"`
 	Share      float64    `json:"share"` // of the requests that the target version gets
 	Reason     string     `json:"reason"`
--- a/internal/canary/instance.go
+++ b/internal/canary/instance.go
@@ -257,6 +257,9 @@
 // excluded reports whether a version gets nothing while no rollout runs.
 func (i *Instance) excluded(v string, fresh bool, now time.Time) bool {
 	others := slices.ContainsFunc(i.versions, func(o string) bool { return o != v })
+	if i.record != nil && slices.Contains(i.record.Abandoned, v) && (others || now.Sub(i.finalSeen) < rolledBackExclusion) {
+		return true
+	}
 	switch i.phase() {
 	case PhaseDone:
 		if slices.Contains(i.record.Old, v) && now.Sub(i.finalSeen) < doneExclusion {
--- a/internal/canary/order.go
+++ b/internal/canary/order.go
@@ -20,10 +20,16 @@
 		r.DeadlineMs += before.StartedMs + 1 - r.StartedMs
 		r.StartedMs = before.StartedMs + 1 // it identifies the rollout
 	}
+	if before != nil && before.Target != o.Target {
+		r.Abandoned = slices.DeleteFunc(slices.Clone(before.Abandoned), func(v string) bool { return v == o.Target })
+		if before.Phase == PhaseRamp {
+			r.Abandoned = append(r.Abandoned, before.Target)
+		}
+	}
 	for _, v := range versions {
 		abandoned := before != nil && v == before.Target && (before.Phase == PhaseRamp || before.Phase == PhaseRolledBack)
 		stopped := before != nil && before.Phase == PhaseDone && v != before.Target && slices.Contains(before.Old, v)
-		if v != o.Target && !abandoned && !stopped {
+		if v != o.Target && !abandoned && !stopped && !slices.Contains(r.Abandoned, v) {
 			r.Old = append(r.Old, v)
 		}
 	}
--- a/internal/egretctl/egretctl.go
+++ b/internal/egretctl/egretctl.go
@@ -64,7 +64,7 @@
 	dir     string   // keys
 	roles   []string // keys
 	logs    []string // rereads
-	store   string   // quarantines, lift, software
+	store   string   // quarantines, lift, software, rollout
 	against string   // check
 	model   string   // lift
 	parts   string   // lift
@@ -144,6 +144,8 @@
 	check := add("check", "check a configuration of the users' platform before it is sent", c.check)
 	check.AddPositionalValue(&c.file, "FILE", 1, false, "configuration, JSON; - or none: standard input")
 	check.String(&c.against, "", "against", "configuration in force: tell what differs from it")
+	rollout := add("rollout", "show the rollout of each service's software: order, state, share, evidence and reason", c.rollout)
+	rollout.String(&c.store, "", "store", "IP:port of the platform's metadata store")
 	for _, s := range []*flaggy.Subcommand{
 		add("drain", "take a failure-domain or target out", func(ctx context.Context) error { return c.setDrained(ctx, true) }),
 		add("return", "bring a failure-domain or target back", func(ctx context.Context) error { return c.setDrained(ctx, false) }),
