membudget, probes: findings of the review

A connection that was chosen to give way but whose write went through stayed condemned: all its later requests were refused. Probes dropped the parts of the cost that are for the whole answer, reordered targets although none had answered, read the request's service after the request had gone on, and could go to a target that had meanwhile asked for a pause; they also reordered the targets of a quarantine probe.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -17,7 +17,7 @@
 // probeTargets probes the best of the ranked targets and reorders them by their answers, if the service's targets report how fast they are and the
 // request has enough work for their speed to matter.
 func (rq *request) probeTargets(ranked []routing.ScoredCandidate) {
-	if len(ranked) < 2 || rq.probed || rq.service.Engine == nil || rq.service.HealthPath == "" || !rq.service.forecast.ReportsSpeed() {
+	if len(ranked) < 2 || rq.probed || rq.probe != nil || rq.service.Engine == nil || rq.service.HealthPath == "" || !rq.service.forecast.ReportsSpeed() {
 		return
 	}
 	best := ranked[0].Cost
@@ -33,21 +33,18 @@
 	asked := 0
 	for i, s := range ranked {
 		t := rq.service.targets[s.Candidate.Target]
-		candidates[i] = probing.Candidate{Work: s.Cost.Queue + s.Cost.Prefill, Other: s.Cost.Fetch + s.Cost.Distance + s.Cost.Penalty, MeanRun: t.stats.MeanRun()}
-		if !rq.mayProbe(t, &s) {
+		candidates[i] = probing.Candidate{Work: s.Cost.Queue + s.Cost.Prefill, Other: s.Cost.Total() - s.Cost.Queue - s.Cost.Prefill, MeanRun: t.stats.MeanRun()}
+		if s.Candidate.Ramp != nil || !mayProbe(t) {
 			continue
 		}
 		asked++
-		go func() { answers <- probeAnswer{index: i, load: rq.probeTarget(ctx, t)} }()
-	}
-	for range asked {
-		select {
-		case a := <-answers:
-			candidates[a.index].Load = a.load
-		case <-ctx.Done():
-		}
+		p := loadProbe{gateway: rq.gateway, service: rq.service, target: t}
+		go func() { answers <- probeAnswer{index: i, load: p.run(ctx)} }()
 	}
 	rq.gateway.metrics.probes.Inc(int64(asked))
+	if !collect(ctx, answers, asked, candidates) {
+		return // nothing was learned
+	}
 	sorted := make([]routing.ScoredCandidate, len(ranked))
 	for i, from := range probing.Order(candidates) {
 		sorted[i] = ranked[from]
@@ -58,40 +55,69 @@
 	copy(ranked, sorted)
 }
 
+// collect fills in the answers that arrive before ctx ends. It returns false if none has a load.
+func collect(ctx context.Context, answers <-chan probeAnswer, asked int, candidates []probing.Candidate) bool {
+	known := false
+	for range asked {
+		select {
+		case a := <-answers:
+			candidates[a.index].Load = a.load
+			known = known || a.load != nil
+		case <-ctx.Done():
+			return known
+		}
+	}
+	return known
+}
+
 // probeAnswer is the load of the target with an index in the ranking, nil if its answer has none.
 type probeAnswer struct {
 	index int
 	load  *probing.Load
 }
 
-// mayProbe reports whether a target may get a probe: it must want requests now, and have capacity that is not counted out.
-func (rq *request) mayProbe(t *target, s *routing.ScoredCandidate) bool {
+// mayProbe reports whether a target may get a probe: it must want requests now, and have no rate limit that a probe would use up.
+func mayProbe(t *target) bool {
 	now := time.Now()
 	_, limited := t.limit.rate(now)
-	return s.Candidate.Ramp == nil && !limited && !t.stats.Blocked(false, now)
+	return !limited && !t.stats.Blocked(false, now)
+}
+
+// loadProbe is a probe of a target. It may outlast its request's wait, so it holds nothing of the request.
+type loadProbe struct {
+	gateway *Gateway
+	service *service
+	target  *target
 }
 
-// probeTarget asks a target for its load. It returns nil if the target does not answer before ctx ends or answers without its load.
-func (rq *request) probeTarget(ctx context.Context, t *target) *probing.Load {
+// run asks the target for its load. It returns nil if the target does not answer before ctx ends, answers without its load, or wants nothing any more
+// once there is a connection.
+func (p loadProbe) run(ctx context.Context) *probing.Load {
+	t := p.target
 	conn, err := t.probes.Get(ctx)
 	if err != nil {
-		return nil // the target counts as slow; a request that is sent there finds out why
+		return nil // a request that is sent there finds out why
+	}
+	if !mayProbe(t) {
+		conn.PutBack()
+		return nil
 	}
-	exchange, err := conn.Send(ctx, &targetconn.Request{Method: http.MethodGet, URI: rq.service.HealthPath, Host: t.address, Header: http.Header{}})
+	header := p.gateway.opts.Protocol.TargetHeaders(http.Header{}, ForwardParams{Target: t.id, Timeout: probing.MaxTimeout})
+	exchange, err := conn.Send(ctx, &targetconn.Request{Method: http.MethodGet, URI: p.service.HealthPath, Host: t.address, Header: header})
 	if err != nil {
 		return nil
 	}
 	now := time.Now()
-	reply := rq.gateway.opts.Protocol.ReadReply(exchange.Response.StatusCode, exchange.Response.Header)
+	reply := p.gateway.opts.Protocol.ReadReply(exchange.Response.StatusCode, exchange.Response.Header)
 	exchange.Drain()
-	if reply.fromOtherTarget(t.id) {
+	if reply.fromOtherTarget(t.id) || reply.Misdirected {
 		return nil
 	}
-	rq.gateway.opts.State.observeNotice(t, reply.Notice, 0, now)
+	p.gateway.opts.State.observeNotice(t, reply.Notice, 0, now)
 	if !reply.HasLoad || reply.Speed <= 0 || exchange.Response.StatusCode != http.StatusOK {
 		return nil
 	}
 	t.reportLoad(reply, now)
-	rq.service.forecast.Report(&t.speed, reply.Speed, now)
+	p.service.forecast.Report(&t.speed, reply.Speed, now)
 	return &probing.Load{Running: reply.Running, Waiting: reply.Waiting, Slowdown: reply.Speed}
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -24,9 +24,9 @@
 	// targetStall is how long a caller may read nothing while a target waits for it. Targets cut an answer that stays unread for some
 	// seconds, so the limit is below three.
 	targetStall = 2500 * time.Millisecond
-	// callerStall is the same while no target waits. It is longer than any window update of a caller that still reads takes: a caller with
-	// full buffers acknowledges a read only once a segment of 1,460 bytes is free.
-	callerStall = 10 * time.Second
+	// callerStall is the same while no target waits. The kernel takes more bytes only once most of its unsent ones are gone, some tens of
+	// kilobytes, so a caller that reads 1 KB a second shows progress only every half minute.
+	callerStall = time.Minute
 	// shortStall is how long a connection must have been without progress to give way while memory is short. A caller that reads a little
 	// each second shows progress within it.
 	shortStall = 1500 * time.Millisecond
@@ -169,8 +169,11 @@
 	switch {
 	case c == nil:
 		return Keep
-	case c.cut:
+	case c.cut && !s.Progressed:
 		return MemoryShort
+	case c.cut:
+		b.pardon(c)
+		b.insert(c)
 	case c.element == nil:
 		c.progressAt = s.Since
 		b.insert(c)
@@ -224,10 +227,21 @@
 
 // RecordWritten records that the blocked write of a connection has ended.
 func (b *Budget) RecordWritten(id ConnID) {
-	if c := b.conns[id]; c != nil && c.element != nil {
-		b.unblock(c)
-		b.add(c, -c.kernel)
-		c.kernel = 0
+	c := b.conns[id]
+	if c == nil {
+		return
+	}
+	b.pardon(c) // its write ended before it was cut
+	b.unblock(c)
+	b.add(c, -c.kernel)
+	c.kernel = 0
+}
+
+// pardon keeps a connection that was to be cut: its caller has read something since.
+func (b *Budget) pardon(c *conn) {
+	if c.cut {
+		c.cut = false
+		b.condemned -= c.held
 	}
 }
 
--- a/internal/probing/probing.go
+++ b/internal/probing/probing.go
@@ -19,6 +19,8 @@
 	minWorkFraction = 1.0 / 6
 	// timeoutFraction is the fraction of the latency objective that the probes of a request may take.
 	timeoutFraction = 1.0 / 20
+	// MaxTimeout bounds the time that probes may take, whatever the objective.
+	MaxTimeout = 200 * time.Millisecond
 )
 
 // Load is the load that a target reports in the answer to a probe.
@@ -43,7 +45,7 @@
 
 // Timeout returns how long the probes of a request may take.
 func Timeout(objective time.Duration) time.Duration {
-	return time.Duration(timeoutFraction * float64(objective))
+	return min(time.Duration(timeoutFraction*float64(objective)), MaxTimeout)
 }
 
 // Order returns the indexes of the candidates, the one with the earliest expected first event first. Candidates that have not answered count as
