canary: findings of the review and of the joined fleet tests

A permit without its record crashed the process; a stream could go on at an old target after the owner had been told that nothing runs there; a stop could cross a done that was being written; permits of a large fleet outlasted the deadline; a version that was given up got traffic again; a record that cannot be read cost the lock.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -78,8 +78,8 @@
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return Record{}, err
 	}
-	if r.Target == "" || r.Phase.rank() <= 0 {
-		return Record{}, errors.New("target or phase missing")
+	if r.Target == "" || r.Phase.rank() <= 0 || r.StartedMs <= 0 {
+		return Record{}, errors.New("target, phase or start missing")
 	}
 	return r, nil
 }
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -323,3 +323,56 @@
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "B/report")
 }
+
+// Guards against a crash by a permit for a rollout whose record an instance does not have, or has no more: every rebuild of the view asks for the target
+// version.
+func TestPermitWithoutRecord(t *testing.T) {
+	i, now := newTestInstance(), testStart
+	forged := &Permit{Token: 1, Phase: PhaseRamp, Share: 1, TTLMs: 1000, LeftMs: 5000}
+	if i.TakePermit(forged, now) || i.IsTarget("v2") {
+		t.Error("permit without a record taken")
+	}
+	record := &Record{Order: 1, Target: "v2", Old: []string{"v1"}, Phase: PhaseRamp, StartedMs: 7, DeadlineMs: 9}
+	i.Update(record, nil, []string{"v1", "v2"}, now)
+	if !i.TakePermit(&Permit{Token: 1, Epoch: 7, Phase: PhaseRamp, Share: 1, TTLMs: 1000, LeftMs: 5000}, now) {
+		t.Fatal("sound permit refused")
+	}
+	i.Update(nil, nil, []string{"v1", "v2"}, now)
+	if i.IsTarget("v2") || i.Running() {
+		t.Error("a rollout without a record runs")
+	}
+	i.Choose("r", true, now)
+}
+
+// Guards against requests at old targets that begin after the owner was told that nothing runs there: it may write done at any time from then on.
+func TestNothingBeginsAtOldTargetsOnceReportedClosed(t *testing.T) {
+	i, now := newTestInstance(), testStart
+	i.Update(&Record{Order: 1, Target: "v2", Old: []string{"v1"}, Phase: PhaseSwitch, StartedMs: 7, DeadlineMs: 9}, nil, []string{"v1", "v2"}, now)
+	i.TakePermit(&Permit{Token: 1, Epoch: 7, Phase: PhaseSwitch, Share: 1, TTLMs: 1000, LeftMs: 5000}, now)
+	if !i.MayResume("v1", now) {
+		t.Error("a stream of the old version may not go on in the switch")
+	}
+	if r, ok := i.Report(now); !ok || !r.Sealed || r.InFlightOld != 0 {
+		t.Fatalf("report %+v, want one that is closed", r)
+	}
+	if i.MayResume("v1", now) {
+		t.Error("a stream may go on at an old target after the report")
+	}
+}
+
+// Guards against traffic for a version that was given up in its ramp once the version that replaced it is done.
+func TestAbandonedVersionGetsNothing(t *testing.T) {
+	first := Record{Order: 1, Target: "v2", Old: []string{"v1"}, Phase: PhaseRamp, StartedMs: 7, DeadlineMs: 9}
+	second, ok := Begin(Order{Target: "v3", Revision: 2, Ramp: time.Second}, &first, []string{"v1", "v2", "v3"}, testStart)
+	if !ok || !slices.Contains(second.Abandoned, "v2") {
+		t.Fatalf("record %+v, want v2 abandoned", second)
+	}
+	second.Phase = PhaseDone
+	i := newTestInstance()
+	i.Update(&second, nil, []string{"v2", "v3"}, testStart)
+	if allowed := i.Allowed(true, testStart); !slices.Equal(allowed, []string{"v3"}) {
+		t.Errorf("allowed %v, want v3 only", allowed)
+	}
+}
+
+func newTestInstance() *Instance { return NewInstance("s", rand.New(rand.NewPCG(1, 1))) }
--- a/internal/canary/instance.go
+++ b/internal/canary/instance.go
@@ -11,6 +11,8 @@
 	// sealMargin is the time before the deadline at which an instance without a permit leaves the old targets by itself: later than that the
 	// owner may write done without it.
 	sealMargin = 700 * time.Millisecond
+	// shortestPermit is the time for which a permit is valid in a fleet of up to some 270 instances.
+	shortestPermit = time.Second
 	// doneExclusion is how long after done the old versions are excluded, and rolledBackExclusion how long the new version is after a rollback
 	// even if no target of another version is known.
 	doneExclusion       = 5 * time.Minute
@@ -43,16 +45,18 @@
 	deadline  time.Time // by the last permit: wall clocks differ; zero without one
 
 	// Of the rollout with this epoch:
-	epoch     int64
-	limiter   *Limiter
-	counter   *Counter
-	attempts  map[*Attempt]struct{}
-	sealed    bool
-	ownStop   string
-	ownStopAt time.Time
-	heardStop string
-	judgedAt  time.Time
-	urgent    bool // the owner is to hear of a bad answer soon
+	epoch    int64
+	limiter  *Limiter
+	counter  *Counter
+	attempts map[*Attempt]struct{}
+	sealed   bool
+	// reportedClosed is set once the owner has been told that nothing of this instance runs at old targets: nothing may begin there again.
+	reportedClosed bool
+	ownStop        string
+	ownStopAt      time.Time
+	heardStop      string
+	judgedAt       time.Time
+	urgent         bool // the owner is to hear of a bad answer soon
 }
 
 // Attempt is an attempt at a target that has not ended.
@@ -73,6 +77,7 @@
 
 func (i *Instance) reset(epoch int64) {
 	i.epoch, i.limiter, i.counter, i.attempts = epoch, NewLimiter(i.rng), NewCounter(), map[*Attempt]struct{}{}
+	i.reportedClosed = false
 	i.sealed, i.ownStop, i.heardStop, i.permit, i.finalSeen, i.deadline = false, "", "", nil, time.Time{}, time.Time{}
 }
 
@@ -83,6 +88,11 @@
 		i.reset(record.StartedMs)
 		i.attempts = running // they still end, and are at targets of some version
 	}
+	if record == nil && i.record != nil {
+		running := i.attempts
+		i.reset(0) // a permit without its record says nothing
+		i.attempts = running
+	}
 	i.record, i.order, i.versions = record, order, versions
 	for _, v := range versions {
 		if _, known := i.firstSeen[v]; !known {
@@ -110,14 +120,24 @@
 		return false
 	}
 	i.token = p.Token
-	if p.Epoch != i.epoch {
+	if i.record == nil || p.Epoch != i.epoch {
 		return false // the record arrives with the metadata
 	}
-	if i.permit != nil && p.Phase.rank() < i.permit.Phase.rank() && p.Token == i.permit.Token {
-		return false // overtaken
+	if p.Phase.rank() < i.phase().rank() {
+		return false // overtaken, or of a new owner whose metadata is behind
 	}
 	i.permit, i.permitEnd = p, now.Add(time.Duration(p.TTLMs)*time.Millisecond)
 	i.deadline = now.Add(time.Duration(p.LeftMs) * time.Millisecond)
+	if p.Phase == PhaseRamp {
+		// The long permits of a large fleet must not outlast the time at which a silent instance leaves old targets.
+		end := i.deadline.Add(-sealMargin)
+		if shortest := now.Add(shortestPermit); end.Before(shortest) {
+			end = shortest // an instance that hears from the owner keeps its permit
+		}
+		if end.Before(i.permitEnd) {
+			i.permitEnd = end
+		}
+	}
 	if p.Stop != "" && i.heardStop == "" {
 		i.heardStop = p.Stop
 	}
@@ -151,7 +171,8 @@
 	case PhaseRamp:
 		i.sealed = !i.stopped(now) && !i.permitted(now) && i.pastSeal(now)
 	case PhaseSwitch:
-		i.sealed = !i.stopped(now)
+		// What only this instance has seen is no reason to use old targets when they may stop.
+		i.sealed = !i.stopped(now) || i.heardStop == "" && i.pastSeal(now)
 	case PhaseDone:
 		i.sealed = true
 	default:
@@ -290,12 +311,15 @@
 
 // MayResume reports whether a stream that began at a version may go on there.
 func (i *Instance) MayResume(version string, now time.Time) bool {
+	if i.record != nil && slices.Contains(i.record.Abandoned, version) && slices.ContainsFunc(i.versions, func(o string) bool { return o != version }) {
+		return false
+	}
 	switch i.phase() {
 	case PhaseDone:
 		return !slices.Contains(i.record.Old, version) || now.Sub(i.finalSeen) >= doneExclusion
 	case PhaseSwitch, PhaseRamp:
 		if i.sealed && slices.Contains(i.record.Old, version) {
-			return !i.pastSeal(now) && (i.permit == nil || !i.permit.Cut) // until then its target may end it in time
+			return !i.reportedClosed && !i.pastSeal(now) && (i.permit == nil || !i.permit.Cut) // until then its target may end it in time
 		}
 		return version != i.record.Target || !i.stopped(now)
 	case PhaseRolledBack:
@@ -445,6 +469,7 @@
 			waiting[a.key] = append(waiting[a.key], now.Sub(a.began))
 		}
 	}
+	i.reportedClosed = r.Sealed && r.InFlightOld == 0
 	r.Requests, r.Exposed = i.limiter.Counts()
 	r.Cells = i.counter.Cells(waiting)
 	return r, true
--- a/internal/canary/order.go
+++ b/internal/canary/order.go
@@ -22,7 +22,7 @@
 	}
 	if before != nil && before.Target != o.Target {
 		r.Abandoned = slices.DeleteFunc(slices.Clone(before.Abandoned), func(v string) bool { return v == o.Target })
-		if before.Phase == PhaseRamp {
+		if before.Phase == PhaseRamp || before.Phase == PhaseRolledBack {
 			r.Abandoned = append(r.Abandoned, before.Target)
 		}
 	}
--- a/internal/gateway/softwareowner.go
+++ b/internal/gateway/softwareowner.go
@@ -51,20 +51,21 @@
 
 // ownedRollout is the rollout of one service that this instance owns.
 type ownedRollout struct {
-	stored       storedRollout
-	isNew        bool           // stored was the first record that this owner saw
-	policy       *canary.Policy // nil while no rollout runs
-	deadline     time.Time
-	input        canary.Input
-	decision     canary.Decision
-	decidedAt    time.Time
-	committing   bool
-	retryAt      time.Time
-	recordedAt   time.Time // when the evidence was recorded last
-	conflicts    int
-	toldStop     bool
-	permitsToAll int       // still to be sent
-	toldAt       time.Time // when all instances were told last
+	stored         storedRollout
+	isNew          bool           // stored was the first record that this owner saw
+	policy         *canary.Policy // nil while no rollout runs
+	deadline       time.Time
+	input          canary.Input
+	decision       canary.Decision
+	decidedAt      time.Time
+	committing     bool
+	committingDone bool // the write in progress ends the rollout with done
+	retryAt        time.Time
+	recordedAt     time.Time // when the evidence was recorded last
+	conflicts      int
+	toldStop       bool
+	permitsToAll   int       // still to be sent
+	toldAt         time.Time // when all instances were told last
 }
 
 // NewSoftwareRolloutController returns a controller that does nothing until Run is called. The State must have RolloutBounds.
@@ -265,7 +266,7 @@
 // act carries out the decision. c.mu must be held.
 func (c *SoftwareRolloutController) act(ctx context.Context, service string, o *ownedRollout, order canary.Order, now time.Time) {
 	record := o.stored.record
-	if o.decision.Stop != "" && !o.toldStop { // before the metadata store has it: it may be slow
+	if o.decision.Stop != "" && !o.toldStop && !o.committingDone { // before the metadata store has it: it may be slow
 		o.toldStop = true
 		o.permitsToAll = finalPermits
 		o.toldAt = time.Time{}
@@ -274,9 +275,9 @@
 	if o.permitsToAll > 0 && now.Sub(o.toldAt) >= canaryUrgentReportPeriod {
 		o.permitsToAll--
 		o.toldAt = now
-		permit := c.permit(service, o, now)
+		permit, instances := c.permit(service, o, now), slices.Clone(o.input.Instances)
 		go func() {
-			for _, name := range o.input.Instances {
+			for _, name := range instances {
 				c.rollouts.sendPermit(name, permit)
 			}
 		}()
@@ -301,7 +302,11 @@
 
 // permit returns the permit for the instances. c.mu must be held.
 func (c *SoftwareRolloutController) permit(service string, o *ownedRollout, now time.Time) *canary.Permit {
-	return canary.PermitOf(service, o.stored.record.StartedMs, c.token, o.stored.record.Phase, o.decision, o.deadline, c.rollouts.permitTTL(), now)
+	decision := o.decision
+	if o.committingDone {
+		decision.Stop = "" // done may be in force already, and the old targets with it gone
+	}
+	return canary.PermitOf(service, o.stored.record.StartedMs, c.token, o.stored.record.Phase, decision, o.deadline, c.rollouts.permitTTL(), now)
 }
 
 // observe takes in a report and answers it.
@@ -342,7 +347,7 @@
 	if begin || record.Phase.Final() { // the status of a running rollout stays
 		txn.Puts = append(txn.Puts, metastore.Put{Key: statusKey, Value: status})
 	}
-	o.committing, o.recordedAt = true, time.Now()
+	o.committing, o.committingDone, o.recordedAt = true, record.Phase == canary.PhaseDone, time.Now()
 	token := c.token
 	go func() {
 		revision, err := c.opts.Store.Commit(ctx, txn)
@@ -354,7 +359,7 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		o.committing = false
+		o.committing, o.committingDone = false, false
 		if c.token != token || c.owned[service] != o {
 			return
 		}
@@ -368,7 +373,8 @@
 			klog.InfoS("rollout of software recorded", "service", service, "target", stored.record.Target, "phase", string(stored.record.Phase), "reason", stored.record.Reason)
 			c.install(service, o, stored, begin && err == nil, now)
 		case errors.Is(err, metastore.ErrConflict):
-			if o.conflicts++; o.conflicts >= maxRecordConflicts || !found {
+			// A record that cannot be read is no reason to give up the lock, which weights need too.
+			if o.conflicts++; o.conflicts >= maxRecordConflicts && found {
 				c.opts.Lock.Relinquish()
 			}
 		}
