--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -202,7 +202,7 @@
 }
 
 func TestMessages(t *testing.T) {
-	r := &Report{Instance: "front-1", Life: 1 << 63, Sequence: 8, Service: "s", Epoch: 7, Requests: 90, Exposed: 3, InFlightOld: 2, Sealed: true}
+	r := &Report{Instance: "front-1", Incarnation: 1 << 63, Sequence: 8, Service: "s", Epoch: 7, Requests: 90, Exposed: 3, InFlightOld: 2, Sealed: true}
 	for n := range 40 {
 		c := Cell{Key: Key{Version: "v2", Route: "route", Target: fmt.Sprint("target-", n)}}
 		c.Answers, c.Failed = 9, 2
@@ -280,7 +280,7 @@
 			g.add(Key{Target: fmt.Sprint(i)}, true, &Count{Failed: bad, Answers: c.n[i]})
 		}
 		v := g.failures(failureRate(c.oldFailed, c.old), cleanRate(c.oldFailed, c.old), decisive, len(c.bad))
-		if v.bad != c.wantBad || (v.grey != "") != c.wantOne {
+		if v.bad != c.wantBad || (v.outlier != "") != c.wantOne {
 			t.Errorf("%s: %+v", c.name, v)
 		}
 	}
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -101,7 +101,7 @@
 	bad      bool
 	evidence float64
 	reason   string
-	grey     string // target that alone is bad; empty if none is
+	outlier  string // target that alone is bad; empty if none is
 }
 
 // judge decides whether the bad answers of a sample are the version's. targets is the number of targets of the version that are given work, and
@@ -123,7 +123,7 @@
 	case othersBad >= minOthersBad && likelihood(othersBad, others, allowed) >= corroborating:
 		v.bad = true
 	case others >= 2:
-		v.grey = worst
+		v.outlier = worst
 	}
 	return v
 }
@@ -246,7 +246,7 @@
 
 // stronger returns the verdict that counts more.
 func (v verdict) stronger(o verdict) verdict {
-	if o.bad && !v.bad || o.bad == v.bad && (o.grey != "" && v.grey == "" || (o.grey != "") == (v.grey != "") && o.evidence > v.evidence) {
+	if o.bad && !v.bad || o.bad == v.bad && (o.outlier != "" && v.outlier == "" || (o.outlier != "") == (v.outlier != "") && o.evidence > v.evidence) {
 		return o
 	}
 	return v
--- a/internal/canary/instance.go
+++ b/internal/canary/instance.go
@@ -17,9 +17,9 @@
 	// even if no target of another version is known.
 	doneExclusion       = 5 * time.Minute
 	rolledBackExclusion = time.Minute
-	// newcomerTime is how long a version that has appeared beside others is not used while the metadata is stale: an order for it may be
+	// newVersionGrace is how long a version that has appeared beside others is not used while the metadata is stale: an order for it may be
 	// unknown here.
-	newcomerTime = 2 * time.Minute
+	newVersionGrace = 2 * time.Minute
 	// suspicion is the evidence from which an instance that has lost the owner no longer uses the new version.
 	suspicion = 4
 	// overruleTime is several times the way of counts to the owner and back.
@@ -98,13 +98,13 @@
 		if _, known := i.firstSeen[v]; !known {
 			i.firstSeen[v] = now
 			if !i.updated || len(i.firstSeen) == 1 {
-				i.firstSeen[v] = now.Add(-newcomerTime) // the versions of the first metadata are established
+				i.firstSeen[v] = now.Add(-newVersionGrace) // the versions of the first metadata are established
 			}
 		}
 	}
 	i.updated = i.updated || len(versions) > 0
 	for v, at := range i.firstSeen {
-		if !slices.Contains(versions, v) && now.Sub(at) > newcomerTime {
+		if !slices.Contains(versions, v) && now.Sub(at) > newVersionGrace {
 			delete(i.firstSeen, v)
 		}
 	}
@@ -294,7 +294,7 @@
 	if i.order != nil && i.order.Target == v && others && (i.record == nil || !i.record.Covers(*i.order)) {
 		return true // the owner has not begun yet
 	}
-	return !fresh && others && now.Sub(i.firstSeen[v]) < newcomerTime
+	return !fresh && others && now.Sub(i.firstSeen[v]) < newVersionGrace
 }
 
 // noVersion is allowed in place of an empty list, which would allow all.
--- a/internal/canary/message.go
+++ b/internal/canary/message.go
@@ -12,7 +12,7 @@
 // Report tells the owner what an instance has seen of one rollout. Its counts are cumulative, so that a lost one is made good by the next.
 type Report struct {
 	Instance    string
-	Life        uint64 // random, differs after a restart
+	Incarnation uint64 // random, differs after a restart
 	Sequence    uint64
 	Service     string
 	Epoch       int64 // Record.StartedMs
@@ -49,17 +49,17 @@
 
 // wireReport is the compact form of a Report.
 type wireReport struct {
-	Instance  string     `json:"i"`
-	Life      uint64     `json:"b"`
-	Sequence  uint64     `json:"q"`
-	Service   string     `json:"s"`
-	Epoch     int64      `json:"e"`
-	Requests  int        `json:"n"`
-	Exposed   int        `json:"x"`
-	InFlight  int        `json:"f"`
-	Sealed    bool       `json:"z,omitempty"`
-	HeardStop string     `json:"o,omitempty"`
-	Cells     []wireCell `json:"c,omitempty"`
+	Instance    string     `json:"i"`
+	Incarnation uint64     `json:"b"`
+	Sequence    uint64     `json:"q"`
+	Service     string     `json:"s"`
+	Epoch       int64      `json:"e"`
+	Requests    int        `json:"n"`
+	Exposed     int        `json:"x"`
+	InFlight    int        `json:"f"`
+	Sealed      bool       `json:"z,omitempty"`
+	HeardStop   string     `json:"o,omitempty"`
+	Cells       []wireCell `json:"c,omitempty"`
 }
 
 type wireCell struct {
@@ -109,7 +109,7 @@
 // EncodeReport returns datagrams of at most about maxBytes with the report. Each can be taken in without the others.
 func EncodeReport(r *Report, maxBytes int) ([][]byte, error) {
 	w := wireReport{
-		Instance: r.Instance, Life: r.Life, Sequence: r.Sequence, Service: r.Service, Epoch: r.Epoch, Requests: r.Requests, Exposed: r.Exposed,
+		Instance: r.Instance, Incarnation: r.Incarnation, Sequence: r.Sequence, Service: r.Service, Epoch: r.Epoch, Requests: r.Requests, Exposed: r.Exposed,
 		InFlight: r.InFlightOld, Sealed: r.Sealed, HeardStop: r.HeardStop,
 	}
 	head, err := json.Marshal(w)
@@ -188,7 +188,7 @@
 
 func (w *wireReport) report() (*Report, error) {
 	r := &Report{
-		Instance: w.Instance, Life: w.Life, Sequence: w.Sequence, Service: w.Service, Epoch: w.Epoch, Requests: w.Requests, Exposed: w.Exposed,
+		Instance: w.Instance, Incarnation: w.Incarnation, Sequence: w.Sequence, Service: w.Service, Epoch: w.Epoch, Requests: w.Requests, Exposed: w.Exposed,
 		InFlightOld: w.InFlight, Sealed: w.Sealed, HeardStop: w.HeardStop,
 	}
 	if r.Instance == "" || r.Service == "" {
--- a/internal/canary/policy.go
+++ b/internal/canary/policy.go
@@ -104,15 +104,15 @@
 }
 
 type sender struct {
-	life     uint64
-	sequence uint64
-	heard    time.Time
-	requests int
-	exposed  int
-	inFlight int
-	sealed   bool
-	dropped  bool // what it waits for has been forgotten since its last report
-	cells    map[Key]Count
+	incarnation uint64
+	sequence    uint64
+	heard       time.Time
+	requests    int
+	exposed     int
+	inFlight    int
+	sealed      bool
+	dropped     bool // what it waits for has been forgotten since its last report
+	cells       map[Key]Count
 }
 
 type snapshot struct {
@@ -135,11 +135,11 @@
 // Observe takes in the report of an instance.
 func (p *Policy) Observe(r *Report, now time.Time) {
 	s := p.senders[r.Instance]
-	if s == nil || s.life != r.Life {
+	if s == nil || s.incarnation != r.Incarnation {
 		if s != nil {
 			p.dropWaiting(s)
 		}
-		s = &sender{life: r.Life, cells: map[Key]Count{}}
+		s = &sender{incarnation: r.Incarnation, cells: map[Key]Count{}}
 		p.senders[r.Instance] = s
 	}
 	if r.HeardStop != "" && p.stopped == "" && p.phase != PhaseDone {
@@ -224,8 +224,8 @@
 		}
 		if v := p.last; v.bad {
 			p.stopped = v.reason
-		} else if v.grey != "" && len(in.NewTargets) > probeTargets-1 && 3*(len(p.excluded)+1) <= len(in.NewTargets) {
-			p.excluded[v.grey] = true
+		} else if v.outlier != "" && len(in.NewTargets) > probeTargets-1 && 3*(len(p.excluded)+1) <= len(in.NewTargets) {
+			p.excluded[v.outlier] = true
 		}
 	}
 	if p.stopped != "" {
--- a/internal/canary/sim_test.go
+++ b/internal/canary/sim_test.go
@@ -54,7 +54,7 @@
 			s.targets[fmt.Sprint("new", i)].fail = 0.03 // what calls them fails
 		}
 	}},
-	{"one new target is grey", func(s *sim) { s.targets["new1"].fail = 0.3 }},
+	{"one new target is an outlier", func(s *sim) { s.targets["new1"].fail = 0.3 }},
 	{"one new target is slow", func(s *sim) { s.targets["new0"].slowBy = 5 }},
 	{"cold start", func(s *sim) { s.coldUntil = 4 * time.Second }},
 	{"load burst", func(s *sim) {
@@ -126,10 +126,10 @@
 
 type simInstance struct {
 	*Instance
-	life     uint64
-	sequence uint64
-	cut      bool
-	toldAt   time.Duration
+	incarnation uint64
+	sequence    uint64
+	cut         bool
+	toldAt      time.Duration
 }
 
 // sim plays one rollout with real instances and owners, and a modelled network, store and targets.
@@ -187,7 +187,7 @@
 }
 
 func (s *sim) newInstance(n int) *simInstance {
-	i := &simInstance{Instance: NewInstance("s", s.rng), life: s.rng.Uint64()}
+	i := &simInstance{Instance: NewInstance("s", s.rng), incarnation: s.rng.Uint64()}
 	record := s.record
 	i.Update(&record, nil, []string{"old", "new"}, s.time())
 	return i
@@ -268,7 +268,7 @@
 		return
 	}
 	i.sequence++
-	r.Instance, r.Life, r.Sequence = fmt.Sprint(n), i.life, i.sequence
+	r.Instance, r.Incarnation, r.Sequence = fmt.Sprint(n), i.incarnation, i.sequence
 	s.at(s.now+d, func() {
 		if s.policy != nil {
 			s.policy.Observe(r, s.time())
--- a/internal/forecast/difference.go
+++ b/internal/forecast/difference.go
@@ -29,7 +29,7 @@
 // ratio better than the mean of the service does. Targets that are equal give a negative gain.
 type differences struct {
 	reported     bool      // a target has reported its speed
-	told         bool      // last result of ActiveChanged
+	lastActive   bool      // last result of ActiveChanged
 	evidentUntil time.Time // targets were learned to differ; zero if they never were
 	center       float64   // decayed mean of the logarithm of the ratios
 	samples      float64
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	active = s.diff.reported || now.Before(s.diff.evidentUntil)
-	changed, s.diff.told = active != s.diff.told, active
+	changed, s.diff.lastActive = active != s.diff.lastActive, active
 	return active, changed
 }
 
--- a/internal/gateway/softwarerollout.go
+++ b/internal/gateway/softwarerollout.go
@@ -487,7 +487,7 @@
 	report, ok := sr.instance.Report(now)
 	sr.mu.Unlock()
 	if ok {
-		report.Instance, report.Life, report.Sequence = r.state.opts.Self, r.life, r.sequence.Add(1)
+		report.Instance, report.Incarnation, report.Sequence = r.state.opts.Self, r.life, r.sequence.Add(1)
 		r.sendReport(report)
 	}
 	return true
