--- a/internal/gateway/softwareowner.go
+++ b/internal/gateway/softwareowner.go
@@ -72,7 +72,7 @@
 func NewSoftwareRolloutController(o SoftwareRolloutOptions) *SoftwareRolloutController {
 	c := &SoftwareRolloutController{opts: o, rollouts: o.State.rollouts, owned: map[string]*ownedRollout{}}
 	if c.rollouts != nil {
-		c.rollouts.judge.Store(c)
+		c.rollouts.controller.Store(c)
 	}
 	return c
 }
--- a/internal/gateway/softwarerollout.go
+++ b/internal/gateway/softwarerollout.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// reportPeriod is how often an instance tells the owner of a rollout its counts, switchReportPeriod how often it does while old targets
-	// drain, and urgentReportPeriod how soon after a bad answer.
+	// canaryReportPeriod is how often an instance tells the owner of a rollout its counts, canarySwitchReportPeriod how often it does while old targets
+	// drain, and canaryUrgentReportPeriod how soon after a bad answer.
 	canaryReportPeriod       = 200 * time.Millisecond
 	canarySwitchReportPeriod = 40 * time.Millisecond
 	canaryUrgentReportPeriod = 25 * time.Millisecond
@@ -46,12 +46,12 @@
 // rolloutService applies rollouts of services' software to this instance's requests, and tells the owner what they show. It is safe for
 // concurrent use, and does nothing if it is nil.
 type rolloutService struct {
-	state    *State
-	life     uint64 // random, differs after a restart
-	sequence atomic.Uint64
-	services atomic.Pointer[map[string]*serviceRollout] // by service
-	owner    atomic.Pointer[rolloutOwner]               // holder of the lock; nil if unknown
-	judge    atomic.Pointer[SoftwareRolloutController]  // of this process; nil if there is none
+	state       *State
+	incarnation uint64 // random, differs after a restart
+	sequence    atomic.Uint64
+	services    atomic.Pointer[map[string]*serviceRollout] // by service
+	owner       atomic.Pointer[rolloutOwner]               // holder of the lock; nil if unknown
+	controller  atomic.Pointer[SoftwareRolloutController]  // of this process; nil if there is none
 
 	mu        sync.Mutex // guards the rest; State.mu may be held before it, not after
 	conn      net.PacketConn
@@ -88,7 +88,7 @@
 		m = tally.NoopScope
 	}
 	r := &rolloutService{
-		state: s, life: rand.Uint64(), records: map[string]storedRollout{}, orders: map[string]canary.Order{}, orderSeen: map[uint64]time.Time{},
+		state: s, incarnation: rand.Uint64(), records: map[string]storedRollout{}, orders: map[string]canary.Order{}, orderSeen: map[uint64]time.Time{},
 		exposed: m.Counter("requests_to_new_software"), stops: m.Counter("software_rollouts_stopped"), running: m.Gauge("software_rollouts_running"),
 	}
 	r.services.Store(&map[string]*serviceRollout{})
@@ -487,7 +487,7 @@
 	report, ok := sr.instance.Report(now)
 	sr.mu.Unlock()
 	if ok {
-		report.Instance, report.Incarnation, report.Sequence = r.state.opts.Self, r.life, r.sequence.Add(1)
+		report.Instance, report.Incarnation, report.Sequence = r.state.opts.Self, r.incarnation, r.sequence.Add(1)
 		r.sendReport(report)
 	}
 	return true
@@ -500,7 +500,7 @@
 	case owner == nil:
 		return
 	case owner.name == r.state.opts.Self:
-		if judge := r.judge.Load(); judge != nil {
+		if judge := r.controller.Load(); judge != nil {
 			judge.observe(report)
 		}
 		return
@@ -575,7 +575,7 @@
 	case m.Permit != nil:
 		r.takePermit(m.Permit)
 	default:
-		if judge := r.judge.Load(); judge != nil {
+		if judge := r.controller.Load(); judge != nil {
 			judge.observe(m.Report)
 		}
 	}
