--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -189,7 +189,8 @@
 	for ctx.Err() == nil {
 		var err error
 		if !synced {
-			err = m.resync(ctx, failures > 0)
+			// One failed call says little of the store: the own link, or an upstream that fell silent before, can be the cause.
+			err = m.resync(ctx, failures > 1)
 			synced = err == nil
 		} else {
 			err = m.awaitChanges(ctx)
@@ -229,7 +230,7 @@
 	return ctx.Err()
 }
 
-// resync reads all items again. recovering is set after failed calls. It returns errStaleRead if the store returns an older
+// resync reads all items again. recovering is set after an outage. It returns errStaleRead if the store returns an older
 // revision than the known one.
 func (m *Mirror) resync(ctx context.Context, recovering bool) error {
 	calledAt := m.opts.Clock()
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -292,3 +292,42 @@
 		}
 	})
 }
+
+// An instance whose upstream falls silent, and whose own first call then fails once, has old state although the store served everyone else. Guards
+// against taking that for an outage of the store: records of targets that have left meanwhile would count as expired, and get requests beyond the bound.
+func TestOneFailedCallIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("a", []byte("1"))
+		var silent, failed atomic.Bool
+		m, get := startMirror(t, metastore.MirrorOptions{
+			Store: store,
+			Upstreams: func() []string {
+				if silent.Load() && !failed.Load() {
+					return []string{"silent"}
+				}
+				return nil
+			},
+			FetchChanges: func(context.Context, string, uint64, time.Duration) (metastore.Update, error) {
+				time.Sleep(3 * time.Second) // longer than the shortest outage in which records can expire
+				store.SetFault(func(string) error {
+					if failed.Swap(true) {
+						return nil
+					}
+					return metastore.ErrUnavailable
+				})
+				return metastore.Update{}, context.DeadlineExceeded
+			},
+		})
+		get("a")
+		silent.Store(true)
+		time.Sleep(6 * time.Second)
+		store.Put("a", []byte("2"))
+		if got := get("a"); got != "2" || !failed.Load() {
+			t.Fatalf("a is %q, one call failed: %v", got, failed.Load())
+		}
+		if at := m.RecoveredAt(); !at.IsZero() {
+			t.Errorf("outage until %v recorded, want none", at)
+		}
+	})
+}
