--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -21,7 +21,7 @@
 		return
 	}
 	best := ranked[0].Cost
-	if !probing.Worthwhile(best.Queue+best.Prefill+best.Fetch, rq.route.Objective) {
+	if !probing.Worthwhile(best.Prefill+best.Fetch, rq.route.Objective) {
 		return
 	}
 	rq.probed = true
--- a/internal/probing/probing.go
+++ b/internal/probing/probing.go
@@ -38,7 +38,8 @@
 	Load    *Load         // nil if the target did not answer in time
 }
 
-// Worthwhile reports whether probes can change when the first event of a request arrives, given the work at the best candidate.
+// Worthwhile reports whether probes can change when the first event of a request arrives, given its own work at the best candidate. Waits do not
+// count: under overload short requests have them too, and probes for these would be more than one for each request.
 func Worthwhile(work, objective time.Duration) bool {
 	return float64(work) >= minWorkFraction*float64(objective)
 }
