gateway: log and count answers that are written into another one

Nothing tells such a case from a sound answer: the request's line has the status of the second answer, the line of the HTTP server names no request, and the request counts as answered. The request's line now keeps the status that the caller has received and tells how many events were sent (events). An ERROR line names the request, both statuses and the second target, and answers_mixed counts the cases. No logic changes: the second answer is still written.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/egrethoist/egrethoist/internal/eventstream"
 	"github.com/egrethoist/egrethoist/internal/targetconn"
 )
@@ -22,6 +24,13 @@
 
 // writeHead sends the status and headers of a target's answer to the caller. A negative length leaves out Content-Length.
 func (rq *request) writeHead(resp *http.Response, length int) {
+	if rq.headSent {
+		rq.gateway.metrics.answersMixed.Inc(1)
+		klog.ErrorS(nil, "answer written into another one", "id", rq.call.ID, "status", rq.status, "events", rq.eventsSent, "second_status", resp.StatusCode,
+			"second_target", rq.gateway.opts.Protocol.ReadReply(resp.StatusCode, resp.Header).Target)
+		rq.writer.WriteHeader(resp.StatusCode)
+		return
+	}
 	out := rq.writer.Header()
 	for name, values := range rq.gateway.opts.Protocol.CallerHeaders(resp.Header) {
 		out[name] = values
@@ -182,6 +191,7 @@
 		if _, err := rq.writer.Write(event); err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
+		rq.eventsSent++
 		wrote = true
 	}
 	if !wrote {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,7 @@
 	headSent    bool          // the status and headers of the answer were sent to the caller
 	lastEventID uint64        // ID of the last event of the stream that was sent to the caller
 	eventsBegun bool          // an event was sent to the caller
+	eventsSent  int           // events sent to the caller
 	pinned      string        // software version at which the request must run; empty: any
 	pinSource   streamSource  // how pinned is known, for a request that resumes a stream
 	// pinnedService is the service that began the stream which the request resumes, if the configuration would choose another one.
@@ -218,5 +219,5 @@
 	}
 	klog.InfoS("request", "id", rq.call.ID, "route", route, "workspace", workspace, "outcome", rq.outcome, "status", rq.status,
 		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "share", rq.share, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision,
-		"resumes", rq.call.Resumes, "after", rq.call.LastEventID, "software", rq.pinned, "known_from", rq.pinSource)
+		"resumes", rq.call.Resumes, "after", rq.call.LastEventID, "software", rq.pinned, "known_from", rq.pinSource, "events", rq.eventsSent)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	refusedLimited tally.Counter
 	failed         tally.Counter   // all other requests
 	brokenOff      tally.Counter   // answers cut after their head was sent
+	answersMixed   tally.Counter   // answers written into another one that had begun
 	retries        tally.Counter   // attempts after the first one of a request
 	metadataAge    tally.Histogram // age of the metadata when requests were sent
 	forecast       forecastMetrics
@@ -37,10 +38,11 @@
 		refusedPaused: s.Counter("requests_refused_for_pauses"), failed: s.Counter("requests_failed"),
 		refusedLimited: s.Counter("requests_refused_for_limits"),
 		brokenOff:      s.Counter("answers_broken_off"), retries: s.Counter("retries"),
-		metadataAge: s.Histogram("send_metadata_age_seconds", latencyBuckets),
-		forecast:    newForecastMetrics(s),
-		resumed:     s.Counter("streams_resumed"),
-		probes:      s.Counter("target_probes"), probesDecided: s.Counter("choices_changed_by_probes"),
+		answersMixed: s.Counter("answers_mixed"),
+		metadataAge:  s.Histogram("send_metadata_age_seconds", latencyBuckets),
+		forecast:     newForecastMetrics(s),
+		resumed:      s.Counter("streams_resumed"),
+		probes:       s.Counter("target_probes"), probesDecided: s.Counter("choices_changed_by_probes"),
 	}
 }
 
