metastore: an incomplete copy of another instance is not used

An answer of another instance was decoded up to the end of the first JSON value. "null" or an object of another program at the address gave a copy or an update without revision and with age 0, which confirmed the instance's stale state as of now. A copy of a newer revision, or an update that is said to be whole, without a list of items replaced the whole state by nothing. Bodies shorter than their length or without their last chunk counted, and redirects were followed.

The clients now read the answer to its end and require its fields, and the mirror refuses copies and updates without a revision, with a negative age, without the list of a newer state, or with items without key or revision.

--- a/cmd/egret-gateway/peers.go
+++ b/cmd/egret-gateway/peers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -13,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 
+	"github.com/egrethoist/egrethoist/internal/jsonreply"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
@@ -28,7 +27,7 @@
 )
 
 // peerClient is the client for copies of the metadata.
-var peerClient = &http.Client{Timeout: peerTimeout, Transport: tcp.NewTransport(peerTimeout)}
+var peerClient = &http.Client{Timeout: peerTimeout, Transport: tcp.NewTransport(peerTimeout), CheckRedirect: jsonreply.NoRedirect}
 
 const (
 	changesPath = "/changes"
@@ -47,7 +46,7 @@
 func newUpstreamClient() *http.Client {
 	transport := tcp.NewTransport(peerTimeout)
 	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 1, idleTimeout
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: transport, CheckRedirect: jsonreply.NoRedirect}
 }
 
 // maxPeerAnswer is the maximum size in bytes of another instance's answer, which has up to some thousands of metadata items.
@@ -76,12 +75,13 @@
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, changesPath, afterParam, after, withinParam, within.Milliseconds())
 	var update metastore.Update
-	return update, getFromPeer(ctx, upstreamClient, url, &update)
+	err := getFromPeer(ctx, upstreamClient, url, &update, "AsOf", "Age", "Held", "Whole")
+	return update, err
 }
 
-// getFromPeer sends a GET request to another instance and decodes its JSON answer. It returns an error if the call fails or the
-// status is not 200.
-func getFromPeer(ctx context.Context, client *http.Client, url string, answer any) error {
+// getFromPeer sends a GET request to another instance and decodes its JSON answer. It returns an error if the call fails, the status is not
+// 200, or the answer is cut or lacks a required field: another program may have the address of an instance that has ended.
+func getFromPeer(ctx context.Context, client *http.Client, url string, answer any, required ...string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return trace.Wrap(err)
@@ -94,7 +94,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return trace.Errorf("call to instance %s: status %d", req.URL.Host, resp.StatusCode)
 	}
-	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxPeerAnswer)).Decode(answer), "answer of instance %s", req.URL.Host)
+	raw, err := jsonreply.Read(resp, maxPeerAnswer)
+	if err == nil {
+		err = jsonreply.Decode(raw, answer, required...)
+	}
+	return trace.Wrap(err, "answer of instance %s", req.URL.Host)
 }
 
 // serveCopy returns this instance's copy of the metadata to an instance that can't reach the store.
@@ -116,7 +120,13 @@
 	if len(peers) == 0 {
 		return metastore.Copy{}, trace.NotFound("no other instance known")
 	}
-	address := peers[rand.IntN(len(peers))]
+	return copyFrom(ctx, peers[rand.IntN(len(peers))], after)
+}
+
+// copyFrom fetches a copy of the metadata that is newer than a revision from the instance at the address.
+func copyFrom(ctx context.Context, address string, after uint64) (metastore.Copy, error) {
 	var peerCopy metastore.Copy
-	return peerCopy, getFromPeer(ctx, peerClient, fmt.Sprintf("http://%s%s?%s=%d", address, copyPath, afterParam, after), &peerCopy)
+	url := fmt.Sprintf("http://%s%s?%s=%d", address, copyPath, afterParam, after)
+	err := getFromPeer(ctx, peerClient, url, &peerCopy, "AsOf", "Age")
+	return peerCopy, err
 }
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -45,7 +45,34 @@
 type Copy struct {
 	AsOf  uint64
 	Age   time.Duration // time since the store confirmed the state
-	Items []Item        // empty if the peer already has this revision
+	Items []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
+}
+
+// errIncomplete means that an answer of another instance is not complete.
+var errIncomplete = errors.New("incomplete answer of another instance")
+
+// validate returns an error if the copy, received by an instance that has revision after, is not complete.
+func (c *Copy) validate(after uint64) error {
+	if c.AsOf == 0 || c.Age < 0 {
+		return fmt.Errorf("%w: revision %d, age %v", errIncomplete, c.AsOf, c.Age)
+	}
+	if c.AsOf > after && c.Items == nil {
+		return fmt.Errorf("%w: no items of revision %d", errIncomplete, c.AsOf)
+	}
+	for i := range c.Items {
+		if err := c.Items[i].validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validate returns an error if the item has no key or no revision.
+func (i *Item) validate() error {
+	if i.Key == "" || i.Revision == 0 {
+		return fmt.Errorf("%w: item with key %q and revision %d", errIncomplete, i.Key, i.Revision)
+	}
+	return nil
 }
 
 // MirrorOptions configure a Mirror.
@@ -345,6 +372,9 @@
 	}
 	calledAt := m.opts.Clock()
 	c, err := m.opts.FetchPeerCopy(ctx, m.asOf)
+	if err == nil {
+		err = c.validate(m.asOf)
+	}
 	if err != nil {
 		klog.V(1).InfoS("failed to fetch a copy of the metadata store from a peer", "err", err.Error())
 		return
--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -57,7 +58,23 @@
 	Age     time.Duration // time since the store confirmed the upstream's state
 	Held    time.Duration // time that the upstream held the poll before it responded
 	Whole   bool          // Changes holds the full state instead of the changes
-	Changes []Event
+	Changes []Event       // not nil if Whole is set
+}
+
+// validate returns an error if the update is not complete.
+func (u *Update) validate() error {
+	if u.AsOf == 0 || u.Age < 0 || u.Held < 0 {
+		return fmt.Errorf("%w: revision %d, age %v, held for %v", errIncomplete, u.AsOf, u.Age, u.Held)
+	}
+	if u.Whole && u.Changes == nil {
+		return fmt.Errorf("%w: no items of revision %d", errIncomplete, u.AsOf)
+	}
+	for i := range u.Changes {
+		if err := u.Changes[i].validate(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // changeLog is a bounded log of the latest changes, for serving other instances. It is safe for concurrent use.
@@ -201,6 +218,9 @@
 		return false
 	}
 	u, err := m.opts.FetchChanges(ctx, upstream, m.asOf, upstreamPollTimeout)
+	if err == nil {
+		err = u.validate()
+	}
 	if err != nil || u.AsOf < m.asOf {
 		if ctx.Err() == nil {
 			klog.InfoS("instance gives no changes of the metadata store", "upstream", upstream, "err", err, "revision", u.AsOf)
--- a/internal/metastore/relay_test.go
+++ b/internal/metastore/relay_test.go
@@ -214,3 +214,39 @@
 		}
 	})
 }
+
+// An upstream's answer that says nothing of the state, or is said to be whole and lists nothing, must neither confirm the state nor replace
+// it. The member watches the store itself then.
+func TestIncompleteUpdateIsNotUsed(t *testing.T) {
+	for name, answer := range map[string]metastore.Update{
+		"no revision":             {},
+		"whole without items":     {AsOf: 100, Whole: true},
+		"whole, item without key": {AsOf: 100, Whole: true, Changes: []metastore.Event{{Item: metastore.Item{Revision: 99}}}},
+		"change without key":      {AsOf: 100, Changes: []metastore.Event{{Deleted: true}}},
+		"negative age":            {AsOf: 100, Age: -time.Hour},
+		"negative hold":           {AsOf: 100, Held: -time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				store.Put("a", []byte("1"))
+				var watches atomic.Int64
+				m, get := startMirror(t, metastore.MirrorOptions{
+					Store: countingStore{store, &watches}, Upstreams: func() []string { return []string{"upstream"} },
+					FetchChanges: func(context.Context, string, uint64, time.Duration) (metastore.Update, error) { return answer, nil },
+				})
+				store.Put("b", []byte("2"))
+				time.Sleep(2 * time.Second)
+				if a, b := get("a"), get("b"); a != "1" || b != "2" {
+					t.Errorf("values %q and %q, want those of the store", a, b)
+				}
+				if age, _ := m.Age(); age < 0 {
+					t.Errorf("age %v", age)
+				}
+				if watches.Load() == 0 {
+					t.Error("the store is not watched")
+				}
+			})
+		})
+	}
+}
