gateway: an answer to an HTTP/1.0 caller is broken off by a reset

What callers saw: an answer to an HTTP/1.0 request has neither chunks nor a length if it is a stream or large, so that it ends with the connection.

The owner of the answer knows how it ends: if that is by the connection, it breaks the answer off with a TCP reset. Callers of HTTP/1.1 still get an orderly close without the last chunk.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/egrethoist/egrethoist/internal/eventstream"
 )
 
@@ -37,6 +39,7 @@
 // end. An answer that has not been ended is broken off by close, so that the caller cannot take it for complete.
 type callerAnswer struct {
 	writer      http.ResponseWriter
+	endsByClose bool // an answer without a length ends with the connection, as with HTTP/1.0
 	state       answerState
 	status      int       // that the caller has received; zero if none
 	headAt      time.Time // when the head was sent; zero if it was not
@@ -165,9 +168,26 @@
 
 // close must be called when the request has ended. An answer that is not complete is broken off by closing the caller's connection.
 func (a *callerAnswer) close() {
-	if a.state != answerEnded {
-		panic(http.ErrAbortHandler)
+	if a.state == answerEnded {
+		return
+	}
+	if a.begun() && a.endsByClose {
+		a.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the caller's connection with a TCP reset: an orderly close would look like the end of the answer.
+func (a *callerAnswer) reset() {
+	conn, _, err := http.NewResponseController(a.writer).Hijack()
+	if err != nil {
+		klog.ErrorS(err, "caller's connection not reset")
+		return
+	}
+	if lingering, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0) // an error means that the connection has ended
 	}
+	_ = conn.Close()
 }
 
 // closeConnection announces that the caller's connection is closed after the answer.
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -254,9 +254,7 @@
 		return false
 	}
 	c.cut.Store(true)
-	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingering.SetLinger(0) // otherwise the kernel keeps what is unsent after the close, for as long as the caller does not read it
-	}
+	_ = c.SetLinger(0) // otherwise the kernel keeps what is unsent after the close, for as long as the caller does not read it
 	c.memory.metrics.cut[reason].Inc(1)
 	klog.InfoS("caller cut since it does not read", "caller", c.RemoteAddr().String(), "reason", reason.String(), "write_blocked_for", now.Sub(stall.Since),
 		"target_waits", !stall.TargetSince.IsZero(), "held_bytes", held, "limit_bytes", limit, "callers_blocked", blocked)
@@ -278,6 +276,14 @@
 	return nil
 }
 
+// SetLinger sets how many seconds the kernel keeps unsent data after Close; with zero, Close resets the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() { c.memory.close(c.id) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rq := &request{
-		gateway: g, answer: callerAnswer{writer: w}, incoming: r, arrived: time.Now(), view: g.opts.State.freshView(r.Context()),
+		gateway: g, answer: callerAnswer{writer: w, endsByClose: !r.ProtoAtLeast(1, 1)}, incoming: r, arrived: time.Now(), view: g.opts.State.freshView(r.Context()),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if g.draining.Load() {
