platform/rpc: an answer without a length or chunks fails

A protobuf message has no length of its own. An HTTP/1 answer that ends with its connection and is cut between two fields is a valid, shorter message, and one that is cut before the first is an empty one: a list of instances lost those behind the cut. The client now fails such answers, with the check that httpengine had for targets (tcp.Framed).

Our own server always sends a length or chunks.

--- a/internal/engine/httpengine/answer.go
+++ b/internal/engine/httpengine/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/engine"
 	"github.com/egrethoist/egrethoist/internal/engine/wire"
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 // ErrUndelimited says that an answer had neither a length nor chunks, so that its end can't be told from a cut.
@@ -45,25 +46,12 @@
 
 func newRawAnswer(resp *http.Response, cancel context.CancelFunc) *rawAnswer {
 	a := &rawAnswer{resp: resp, cancel: cancel, buf: make([]byte, rawPiece)}
-	if !delimited(resp) {
+	if !tcp.Framed(resp) {
 		a.last = ErrUndelimited
 	}
 	return a
 }
 
-// delimited reports whether a cut of the answer can be told from its end.
-func delimited(resp *http.Response) bool {
-	if resp.ContentLength >= 0 {
-		return true
-	}
-	for _, enc := range resp.TransferEncoding {
-		if enc == "chunked" {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *rawAnswer) Status() int         { return a.resp.StatusCode }
 func (a *rawAnswer) Header() http.Header { return a.resp.Header }
 func (a *rawAnswer) Usage() engine.Usage { return engine.Usage{} }
--- a/internal/platform/rpc/client.go
+++ b/internal/platform/rpc/client.go
@@ -39,6 +39,7 @@
 
 // NewClient returns a client of the platform at a base URL, such as http://127.0.0.1:7000.
 func NewClient(client connect.HTTPClient, baseURL string) *Client {
+	client = framedOnly{client}
 	limit := connect.WithReadMaxBytes(maxMessageBytes)
 	return &Client{
 		kv:      egretv1connect.NewKeyValueServiceClient(client, baseURL, limit),
@@ -47,6 +48,23 @@
 	}
 }
 
+// errUnframed is returned for an answer whose end cannot be told from a cut. Messages have no length of their own, so one that is cut
+// between two fields is valid: a list would look shorter.
+var errUnframed = errors.New("answer without a length or chunks")
+
+// framedOnly fails calls whose answer ends with its connection.
+type framedOnly struct{ connect.HTTPClient }
+
+// Do implements connect.HTTPClient.
+func (c framedOnly) Do(req *http.Request) (*http.Response, error) {
+	resp, err := c.HTTPClient.Do(req)
+	if err == nil && !tcp.Framed(resp) {
+		resp.Body.Close()
+		return nil, errUnframed
+	}
+	return resp, err
+}
+
 // NewTLSClient returns a client of the platform at an address, IP:port. config is asked for every dial, so that rotated
 // keys take effect.
 func NewTLSClient(config func(host string) *tls.Config, address string) *Client {
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -32,6 +33,12 @@
 	return &http.Transport{DialContext: Dialer(dialTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxResponseHeaderBytes}
 }
 
+// Framed reports whether the end of a response's body can be told from a cut. In HTTP/1, a body without length and chunks ends with its
+// connection, however that ends.
+func Framed(resp *http.Response) bool {
+	return resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
+}
+
 // Dialer returns a dialer whose connections fail when the peer becomes unresponsive. timeout bounds connection setup.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
