peer, eventstream: test the ends of answers and events

No fault found, no change of the code. No test covered an HTTP/2 answer that is reset after its head, an event cut at each of its bytes, or invalid IDs. internal/kvcache/transfer needs none: TestReadFaults, TestInvalidPieces and TestReadsReturnOnlyCompleteCorrectBlocks cover reads that end between and inside blocks.

--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -58,3 +58,33 @@
 		t.Error("an event longer than maxEventBytes is accepted")
 	}
 }
+
+// Guards against taking another number than that of its own id field for the ID of an event: a stream would be resumed at the wrong event.
+func TestInvalidIDs(t *testing.T) {
+	for _, text := range []string{
+		"\n", ": id: 3\n\n", "data: x\n\n", "id\ndata: x\n\n", "id:\ndata: x\n\n", "id: x\n\n", "id: 3x\n\n", "id: -3\n\n", "id: +3\n\n", "id: 3.0\n\n", "id: 0x3\n\n",
+		"id: 18446744073709551616\n\n", "identity: 3\n\n", " id: 3\n\n", "id : 3\n\n", "event: x\ndata: y\nretry: 3\n\n",
+	} {
+		if id, ok := ID([]byte(text)); ok {
+			t.Errorf("%q: ID %d, want none", text, id)
+		}
+	}
+}
+
+// Guards against taking an event that was cut at any place for a complete one: only the empty line ends an event.
+func TestCutEventIsIncomplete(t *testing.T) {
+	for _, event := range []string{"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "data: {\"a\":1}\ndata: b\nid: 1\n\n"} {
+		for n := 1; n < len(event); n++ {
+			var s Splitter
+			if err := s.Append([]byte("data: 0\n\n" + event[:n])); err != nil {
+				t.Fatal(err)
+			}
+			if first := s.Next(); string(first) != "data: 0\n\n" {
+				t.Fatalf("first event %q", first)
+			}
+			if e := s.Next(); e != nil || s.Buffered() != n {
+				t.Errorf("%q of %q: event %q, %d bytes buffered, want none and %d", event[:n], event, e, s.Buffered(), n)
+			}
+		}
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -105,3 +105,44 @@
 		}
 	})
 }
+
+// An answer whose stream is reset must not be read as complete, also without a length: messages of our own protocols have none either.
+func TestAbortedAnswerFails(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"before the head": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"after the head": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"inside the body": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"shorter than its length": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "half")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			srv := NewServer(handler, nil)
+			go srv.Serve(l)
+			defer srv.Close()
+			c := NewClient(Options{Addr: l.Addr().String()})
+			defer c.Close()
+			resp, err := c.Do(mustRequest(t, c))
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("%q read as complete", body)
+			}
+		})
+	}
+}
