egretctl: an incomplete status of a process is an error

Any first JSON value in an answer of status 200 was shown as the status of a process, also null or an object of something else, and redirects were followed. The answer is now read by internal/jsonreply.

--- a/internal/egretctl/status.go
+++ b/internal/egretctl/status.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egrethoist/egrethoist/internal/jsonreply"
 	"github.com/egrethoist/egrethoist/internal/statusz"
 	"github.com/egrethoist/egrethoist/internal/units"
 	"github.com/egrethoist/egrethoist/internal/world"
@@ -92,7 +91,8 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := &http.Client{CheckRedirect: jsonreply.NoRedirect}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -100,8 +100,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("answered %s", resp.Status)
 	}
+	raw, err := jsonreply.Read(resp, maxAnswer)
+	if err != nil {
+		return nil, err
+	}
 	p := &statusz.Process{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(p); err != nil {
+	if err := jsonreply.Decode(raw, p, "name", "revision"); err != nil {
 		return nil, err
 	}
 	return p, nil
