soak: cut streams and wrong answers to resumed ones at the same service

Two faults do that: one engine answers resumed streams with something else while another cuts streams, and all engines do both. They reserve their engines, so that the share of streams that go on (LOST) is not judged by them.

The ledger accepts a target's own answer to a new stream, with any status, if the caller gets that status and exactly that body; a 503 or 429 of a target is still REFUSED for a request that ran and may not be repeated. A part of such an answer must begin it. Complete streams are judged as before; ORDER now lists what the targets sent. Callers no longer follow redirects.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -57,7 +57,9 @@
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dial(ctx, rng) },
 	}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse // a redirect is an answer to check like any other
+	}}
 	for ctx.Err() == nil {
 		cl := &classes[rng.IntN(len(classes))]
 		if rng.IntN(40) == 0 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -62,6 +62,8 @@
 	{"address used by another service", 2, (*fleet).reuseAddress},
 	{"target misbehaves", 5, (*fleet).injectTargetFaults},
 	{"service misbehaves", 4, (*fleet).injectServiceFaults},
+	{"engine cuts streams, another fails", 6, (*fleet).injectTargetStreamFaults},
+	{"engines cut streams and fail", 6, (*fleet).injectServiceStreamFaults},
 	{"target cold again", 2, (*fleet).makeTargetCold},
 	{"target link slow", 1, (*fleet).delayTargetLink},
 	{"target connections reset", 2, (*fleet).resetTargetConns},
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -231,18 +232,18 @@
 	a.done, a.reply = time.Now(), reply
 	if err != nil {
 		a.err = err.Error()
-		if a.class.stream && reply.Status == http.StatusOK {
-			c.checkEvents(a, body, false)
-		}
+		c.checkPart(a, reply, body)
 		c.checkLost(a)
 		return
 	}
+	a.notRun = reply.NotRun()
+	if a.notRun && !a.class.repeatable && len(a.ran) > 0 {
+		c.addViolation("REFUSED", "request %s (%s) received %d, which means that it did not run, but ran at %s", a.call.ID, a.class.name, reply.Status, a.ran[0].Target)
+	}
 	switch {
+	case a.answerWith(reply.Stamp) != nil: // a target may answer with any status
+		c.checkAnswer(a, reply, body)
 	case reply.NotRun():
-		a.notRun = true
-		if !a.class.repeatable && len(a.ran) > 0 {
-			c.addViolation("REFUSED", "request %s (%s) received %d, which means that it did not run, but ran at %s", a.call.ID, a.class.name, reply.Status, a.ran[0].Target)
-		}
 		if reply.RetryAfter == "" {
 			c.addViolation("RETRY", "request %s was refused with %d without Retry-After", a.call.ID, reply.Status)
 		}
@@ -261,17 +262,48 @@
 		c.addViolation("MIXED", "request %s received the answer to %q", a.call.ID, reply.ID)
 		return
 	}
-	i := slices.IndexFunc(a.answers, func(ans standin.Answer) bool { return ans.Stamp == reply.Stamp })
+	ans := a.answerWith(reply.Stamp)
 	switch {
-	case i < 0:
+	case ans == nil:
 		c.addViolation("MIXED", "request %s received status %d with stamp %q, which no target sent", a.call.ID, reply.Status, reply.Stamp)
-	case a.answers[i].Status != reply.Status:
-		c.addViolation("MIXED", "request %s received status %d, but its target sent %d", a.call.ID, reply.Status, a.answers[i].Status)
-	case a.class.stream:
+	case ans.Status != reply.Status:
+		c.addViolation("MIXED", "request %s received status %d, but its target sent %d", a.call.ID, reply.Status, ans.Status)
+	case ans.Stream:
 		c.checkEvents(a, body, true)
-	case a.answers[i].Body != body:
-		c.addViolation("MIXED", "request %s received %d bytes, which differ from the %d that its target sent", a.call.ID, len(body), len(a.answers[i].Body))
+	case ans.Body != body:
+		c.addViolation("MIXED", "request %s received %d bytes, which differ from the %d that its target sent (answers: %s)", a.call.ID, len(body), len(ans.Body), a.describeAnswers())
+	}
+}
+
+// checkPart checks the part that a caller received of an answer that was cut.
+func (c *checker) checkPart(a *attempt, reply standin.Reply, body string) {
+	ans := a.answerWith(reply.Stamp)
+	switch {
+	case ans != nil && !ans.Stream:
+		if reply.Status != ans.Status || !strings.HasPrefix(ans.Body, body) {
+			c.addViolation("MIXED", "request %s received status %d and %d bytes that do not begin the answer of its target (answers: %s)", a.call.ID, reply.Status, len(body), a.describeAnswers())
+		}
+	case a.class.stream && reply.Status == http.StatusOK:
+		c.checkEvents(a, body, false)
+	}
+}
+
+// answerWith returns the first answer with the stamp that a target sent to the attempt, nil if there is none.
+func (a *attempt) answerWith(stamp string) *standin.Answer {
+	i := slices.IndexFunc(a.answers, func(ans standin.Answer) bool { return ans.Stamp == stamp })
+	if i < 0 {
+		return nil
+	}
+	return &a.answers[i]
+}
+
+// describeAnswers lists what targets sent to the attempt.
+func (a *attempt) describeAnswers() string {
+	list := make([]string, len(a.answers))
+	for i, ans := range a.answers {
+		list[i] = fmt.Sprintf("%s sent %d after event %q, stream: %t, %d bytes", ans.Target, ans.Status, ans.Resume, ans.Stream, len(ans.Body))
 	}
+	return strings.Join(list, "; ")
 }
 
 // checkLost checks whether a fault explains that an answer is missing or incomplete. A planned stop does not, unless the
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -45,7 +45,7 @@
 	n := a.call.Resume
 	for _, line := range strings.SplitAfter(body, "\n\n") {
 		if err := events.Append([]byte(line)); err != nil {
-			c.addViolation("ORDER", "request %s received an event without an end: %v", a.call.ID, err)
+			c.addViolation("ORDER", "request %s received an event without an end: %v (complete: %t; answers: %s)", a.call.ID, err, complete, a.describeAnswers())
 			return
 		}
 		event := string(events.Next())
@@ -58,13 +58,14 @@
 			a.software = software
 		}
 		if event != standin.Event(a.call.ID, n, software) || software != a.software {
-			c.addViolation("ORDER", "request %s through %s received %q as event %d of a stream that began at software %s as %s", a.call.ID, a.instance, event, n, a.software, a.call.Resumes)
+			c.addViolation("ORDER", "request %s through %s received %q as event %d of a stream that began at software %s as %s (complete: %t; answers: %s)", a.call.ID, a.instance, event, n, a.software, a.call.Resumes,
+				complete, a.describeAnswers())
 			return
 		}
 	}
 	a.lastEvent = n
 	if complete && (events.Buffered() > 0 || n != uint64(a.call.Output)) {
-		c.addViolation("ORDER", "request %s received a complete stream of %d events and %d more bytes, which has %d", a.call.ID, n, events.Buffered(), a.call.Output)
+		c.addViolation("ORDER", "request %s received a complete stream of %d events and %d more bytes, which has %d (answers: %s)", a.call.ID, n, events.Buffered(), a.call.Output, a.describeAnswers())
 	}
 }
 
