soak: streams that a target answers with something else are left out of the share that goes on

The share of take-ups that receive an event is judged while two engines of the stream's version are free of faults. A take-up may still reach the engine that fails, and its caller then rightly has that engine's answer. New streams with such an answer are left out as well.

--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,13 +91,19 @@
 	return n
 }
 
-// checkResumed checks that streams went on at undisturbed instances about as often as new ones began there.
+// answeredInstead reports whether a target answered the request for a stream with something else.
+func (a *attempt) answeredInstead() bool {
+	return slices.ContainsFunc(a.answers, func(ans standin.Answer) bool { return !ans.Stream })
+}
+
+// checkResumed checks that streams went on at undisturbed instances about as often as new ones began there. It leaves out those that a
+// target answered with something else: neither can the caller receive an event then.
 func (c *checker) checkResumed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	begins, begun, takeUps, wentOn := 0, 0, 0, 0
 	for _, a := range c.attempts {
-		if !a.class.resumable || a.abandoned || a.done.IsZero() || a.instance == "" || !c.connected(a.sent.Add(-c.bounds.RecoveryTime), a.done, a.instance) {
+		if !a.class.resumable || a.abandoned || a.done.IsZero() || a.instance == "" || a.answeredInstead() || !c.connected(a.sent.Add(-c.bounds.RecoveryTime), a.done, a.instance) {
 			continue
 		}
 		switch {
