soak: read the gateways' own error lines

Lines of level ERROR from the HTTP server (msg begins with 'http:') and 'answer written into another one' are violations of LOG now, printed with the time of the line. Other ERROR lines are counted by message and printed with the seed. Lines of an earlier run with the same directory are not counted.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -67,6 +67,7 @@
 	violationCounts map[string]int           // by rule
 	deadly          map[string]*deadlyRecord // by part
 	rollouts        []*rollout               // that have ended
+	errorLines      map[string]int           // by message; see Report.ErrorLines
 	takeUps, wentOn int                      // attempts to resume a stream for a verdict, and those that received an event; set by checkResumed
 }
 
@@ -74,18 +75,23 @@
 func newChecker(d *disturbances, h *history, b standin.Bounds) *checker {
 	return &checker{
 		disturbances: d, bounds: b, start: time.Now(), history: h, attempts: map[string]*attempt{}, orders: map[string]standin.Order{},
-		signals: newTargetSignals(d, b), violationCounts: map[string]int{}, deadly: map[string]*deadlyRecord{},
+		signals: newTargetSignals(d, b), violationCounts: map[string]int{}, deadly: map[string]*deadlyRecord{}, errorLines: map[string]int{},
 	}
 }
 
 // maxTextsPerRule is the number of violations of each rule that are reported with a text; further ones are only counted.
 const maxTextsPerRule = 5
 
-// addViolation records a violation of a rule. The caller must hold c.mu.
+// addViolation records a violation of a rule that is detected now. The caller must hold c.mu.
 func (c *checker) addViolation(rule, format string, args ...any) {
+	c.addViolationAt(time.Now(), rule, format, args...)
+}
+
+// addViolationAt records a violation of a rule at the given time. The caller must hold c.mu.
+func (c *checker) addViolationAt(at time.Time, rule, format string, args ...any) {
 	c.violationCounts[rule]++
 	if c.violationCounts[rule] <= maxTextsPerRule {
-		c.violations = append(c.violations, violation{Rule: rule, Text: fmt.Sprintf(format, args...), At: time.Since(c.start)})
+		c.violations = append(c.violations, violation{Rule: rule, Text: fmt.Sprintf(format, args...), At: at.Sub(c.start)})
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,7 +4,6 @@
 package soak
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -43,6 +42,7 @@
 	Stalls     int // periods in which the local machine was too busy for timers to fire on time
 	Violations []violation
 	Rules      map[string]int // violations by rule
+	ErrorLines map[string]int // lines of level ERROR in the instances' logs that are no violations, by message
 	Logs       string         // directory of the instances' logs; empty if they were removed
 }
 
@@ -121,20 +121,6 @@
 	}
 }
 
-// checkLogs reports panics in the instances' logs, which restarts would hide otherwise.
-func (f *fleet) checkLogs() {
-	for _, in := range f.instances {
-		raw, err := os.ReadFile(in.logPath())
-		if err != nil {
-			f.checker.Violation("FAULT", "read log of %s: %v", in.spec.Name, err)
-			continue
-		}
-		if i := bytes.Index(raw, []byte("panic: ")); i >= 0 {
-			f.checker.Violation("FAULT", "%s panicked: %.300s", in.spec.Name, raw[i:])
-		}
-	}
-}
-
 // checkRecovery checks that enough of the requests sent since the given time were served, unless the machine stalled meanwhile.
 func (c *checker) checkRecovery(since time.Time) {
 	c.mu.Lock()
@@ -220,7 +206,7 @@
 func (c *checker) report(seed uint64, faults int) *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Report{Seed: seed, Faults: faults, TakeUps: c.takeUps, WentOn: c.wentOn, Violations: c.violations, Rules: c.violationCounts, Stalls: c.disturbances.count(allParts)}
+	r := &Report{Seed: seed, Faults: faults, TakeUps: c.takeUps, WentOn: c.wentOn, Violations: c.violations, Rules: c.violationCounts, ErrorLines: c.errorLines, Stalls: c.disturbances.count(allParts)}
 	for _, a := range c.attempts {
 		if a.abandoned {
 			continue
