gateway: a continuation without a new event does not complete a stream

The protocol names no last event, so the end of an answer is the only mark, and one that adds nothing proves nothing.

Such a continuation now counts as failed: the next target is tried, or the answer is broken off. A stream that was cut behind its last event costs its caller one more request, which the target then answers with a complete empty stream. For the same reason a stream without any event, without length and without chunks is a cut one.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/eventstream"
 	"github.com/egrethoist/egrethoist/internal/targetconn"
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 const (
@@ -125,8 +126,7 @@
 			}
 		}
 		if err == io.EOF && events.Buffered() == 0 {
-			e.Finish()
-			rq.recordForwarded(result, rq.endEvents(e.Response))
+			rq.completeStream(result, e)
 			return
 		}
 		if err != nil {
@@ -137,14 +137,30 @@
 	}
 }
 
-// endEvents ends the caller's stream as complete. The head is that of resp if there was no event.
-func (rq *request) endEvents(resp *http.Response) error {
-	if !rq.answer.begun() {
-		if err := rq.answer.beginStream(resp.StatusCode, rq.targetHeader(resp)); err != nil {
-			return err
+// completeStream ends the caller's stream, since that of a target has ended. A stream without a new event proves nothing if it was to
+// continue another one, or if its end can't be told from a cut.
+func (rq *request) completeStream(result *attempt, e *targetconn.Exchange) {
+	if result.progress.events == 0 {
+		switch {
+		case rq.answer.begun():
+			rq.gateway.metrics.failedContinuations.Inc(1)
+			rq.recordUnusable(result, e, "the continuation of the stream has no new event")
+			return
+		case !tcp.Framed(e.Response):
+			e.Abort()
+			rq.recordNoAnswer(result, fmt.Errorf("read stream: %w", io.ErrUnexpectedEOF))
+			return
 		}
 	}
-	return rq.answer.end()
+	e.Finish()
+	var err error
+	if !rq.answer.begun() {
+		err = rq.answer.beginStream(e.Response.StatusCode, rq.targetHeader(e.Response))
+	}
+	if err == nil {
+		err = rq.answer.end()
+	}
+	rq.recordForwarded(result, err)
 }
 
 // endStream records a stream that was cut. Once events have reached the caller, the outcome is attemptBroken.
