gateway: a cut answer is not counted as a refusal

A target's own answer with status 503 that was cut, or whose caller left, counted as requests_refused, which means that the request has not run. Only complete answers count as answered or refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,10 +207,11 @@
 	if !rq.answer.headAt.IsZero() {
 		first = rq.answer.headAt.Sub(rq.arrived)
 	}
-	if rq.outcome == outcomeAnswered && rq.answer.state != answerEnded {
+	complete := rq.answer.state == answerEnded
+	if rq.outcome == outcomeAnswered && !complete {
 		rq.outcome = rq.leaveReason()
 	}
-	rq.gateway.metrics.recordRequest(rq.outcome, rq.answer.status, took, first)
+	rq.gateway.metrics.recordRequest(rq.outcome, rq.answer.status, complete, took, first)
 	revision := uint64(0)
 	if rq.view != nil {
 		revision = rq.view.revision
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,13 +54,16 @@
 	}
 }
 
-// recordRequest records a request that has ended. first is the time to the first byte of the answer, zero if there was none.
-func (m *metrics) recordRequest(outcome string, status int, took, first time.Duration) {
+// recordRequest records a request that has ended. complete is set if its caller has received a complete answer. first is the time to the
+// first byte of the answer, zero if there was none.
+func (m *metrics) recordRequest(outcome string, status int, complete bool, took, first time.Duration) {
 	m.totalTime.RecordDuration(took)
 	if first > 0 {
 		m.firstByteTime.RecordDuration(first)
 	}
 	switch {
+	case !complete:
+		m.failed.Inc(1)
 	case outcome == outcomeAnswered:
 		m.answered.Inc(1)
 	case status == http.StatusServiceUnavailable:
