gateway: a request that has ended claims no probe of suspected parts

Seen once, in a fleet test of this incident that hung until its limit of 10 minutes: the caller left while its request waited for other instances' claims. The wait then ended at once, and the request claimed the probe again without a pause, with messages to the other instances each time, until the verdict changed. Read from the stack of the only running goroutine. The loop now ends with the request's context; the test failed before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -121,6 +121,9 @@
 	}
 	giveUp := time.Now().Add(rq.maxProbeWait())
 	for {
+		if err := rq.ctx.Err(); err != nil {
+			return err
+		}
 		changed, now := q.tracker.Changed(), time.Now()
 		switch d := q.tracker.Check(parts, weights, now); d.Verdict {
 		case quarantine.Allow:
