targetconn: a status below 100 is an error

Found by the review: net/http panics when such a status is passed on, the caller got no answer and no other target was tried. The test failed before.

--- a/internal/targetconn/endless_test.go
+++ b/internal/targetconn/endless_test.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// A status below 100 can't be passed on to a caller: net/http panics.
+func TestInvalidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "099"} {
+		var written atomic.Int64
+		conn, err := NewPool("10.0.0.1:80", 1, dialUnbounded(&written, "HTTP/1.1 "+status+" S\r\nContent-Length: 0\r\n\r\n", "x")).Get(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Send(t.Context(), get("/")); err == nil {
+			t.Errorf("status %s is accepted", status)
+		}
+	}
+}
+
 // When a response such as a 503 is drained, the rest of its body must neither delay the request nor be left on a connection that is
 // reused. Drain closes the connection if the body is too long or has no end.
 func TestDrainClosesOnUnboundedBody(t *testing.T) {
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -119,7 +119,10 @@
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		switch {
+		case resp.StatusCode < 100:
+			return fmt.Errorf("invalid status %d", resp.StatusCode)
+		case resp.StatusCode < 200:
 			continue
 		}
 		id := r.WantID
