gateway: the time to the first byte is that of targets' answers

Found by the review: since one type owns the answer, refusals of the gateway's own counted in first_byte_seconds and first, where fast ones hide slow answers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,7 @@
 	pinnedService string
 	rollout       requestRollout
 	record        *streamRecord // record that the stream waits for; nil if none
+	selfAnswered  bool          // the answer is the gateway's own
 	outcome       string        // outcomeAnswered if the caller has received a complete answer of a target, otherwise why not
 }
 
@@ -204,7 +205,7 @@
 	}
 	took := time.Since(rq.arrived)
 	first := time.Duration(0)
-	if !rq.answer.headAt.IsZero() {
+	if !rq.selfAnswered && !rq.answer.headAt.IsZero() {
 		first = rq.answer.headAt.Sub(rq.arrived)
 	}
 	complete := rq.answer.state == answerEnded
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -20,7 +20,7 @@
 		rq.breakOff(reason)
 		return
 	}
-	rq.outcome = reason
+	rq.outcome, rq.selfAnswered = reason, true
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	_ = rq.answer.sendWhole(status, header, []byte(reason+"\n")) // a write error means that the caller has disconnected
 }
