fleet: fail tests for lines of the HTTP servers

A second status for one response, or a panic of a handler, shows only as a line of net/http's log, which the tests of internal/fleet did not read. All servers of a fleet now log to Options.ErrorLog; the tests give a logger that fails the test for each line.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"maps"
 	"net"
 	"net/http"
@@ -70,6 +71,10 @@
 	NewSidecar func(t *world.Target, o *sidecar.Options)
 	// NewEntry changes the options of an entry before it starts; nil changes nothing.
 	NewEntry func(o *entry.Options)
+	// Backend wraps the stand-in of a target; nil leaves it as it is.
+	Backend func(t *world.Target, standIn http.Handler) http.Handler
+	// ErrorLog receives the lines of all HTTP servers; nil is the standard logger.
+	ErrorLog *log.Logger
 }
 
 // EntryOptions place one entry.
@@ -233,9 +238,10 @@
 	done   sync.WaitGroup
 }
 
-func serve(l net.Listener, h http.Handler, run func(context.Context) error) *process {
+func (f *Fleet) serve(l net.Listener, h http.Handler, run func(context.Context) error) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{server: peer.NewServer(h, nil), cancel: cancel}
+	p.server.ErrorLog = f.opts.ErrorLog
 	p.done.Go(func() { p.server.Serve(l) })
 	if run != nil {
 		p.done.Go(func() { run(ctx) })
@@ -288,7 +294,7 @@
 		return err
 	}
 	n := &EntryNode{Name: o.Name, Entry: e, Config: cfg, URL: "http://" + l.Addr().String()}
-	n.proc = serve(l, e.Handler(), e.Run)
+	n.proc = f.serve(l, e.Handler(), e.Run)
 	f.Entries = append(f.Entries, n)
 	return nil
 }
@@ -340,7 +346,11 @@
 		return err
 	}
 	n.addr = l.Addr().String()
-	n.backend = serve(l, n.newBackend(), nil)
+	backend := n.newBackend()
+	if n.fleet.opts.Backend != nil {
+		backend = n.fleet.opts.Backend(n.Target, backend)
+	}
+	n.backend = n.fleet.serve(l, backend, nil)
 	return nil
 }
 
@@ -393,7 +403,7 @@
 		return err
 	}
 	n.Sidecar = s
-	n.proc = serve(l, s.Handler(), s.Run)
+	n.proc = n.fleet.serve(l, s.Handler(), s.Run)
 	return nil
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -77,6 +77,7 @@
 			},
 			KV:       b.kv,
 			Seed:     1,
+			ErrorLog: newServerLog(t),
 			NewEntry: func(o *entry.Options) { o.Instances = b.list },
 		})
 		if err != nil {
--- a/internal/fleet/start_test.go
+++ b/internal/fleet/start_test.go
@@ -47,7 +47,7 @@
 	w := small(t, 1)
 	for left := 0; ; left++ {
 		n := &countedNetwork{left: left}
-		f, err := Start(Options{World: w, FreePorts: true, Network: n, Entries: []EntryOptions{{Name: "entry-1"}}})
+		f, err := Start(Options{World: w, FreePorts: true, Network: n, Entries: []EntryOptions{{Name: "entry-1"}}, ErrorLog: newServerLog(t)})
 		if err == nil {
 			f.Close()
 			if n.open != 0 {
--- a/internal/fleet/stores.go
+++ b/internal/fleet/stores.go
@@ -75,7 +75,7 @@
 	n := &StoreNode{Store: fakestore.New(o), Link: link, addr: l.Addr().String()}
 	mux := http.NewServeMux()
 	mux.Handle(egretv1connect.NewStoreServiceHandler(fakestore.NewHandler(n.Store)))
-	n.proc = serve(l, mux, nil)
+	n.proc = f.serve(l, mux, nil)
 	return n, nil
 }
 
--- a/internal/fleet/upload_test.go
+++ b/internal/fleet/upload_test.go
@@ -40,6 +40,7 @@
 		FreePorts: true,
 		Entries:   []EntryOptions{{Name: "entry-1", FailureDomain: "lufkin", Region: "etx"}},
 		Seed:      1,
+		ErrorLog:  newServerLog(t),
 	})
 	if err != nil {
 		t.Fatal(err)
