httpengine: take an error event of an engine for the failure of its stream

Seen by callers: a resumed stream held the error event of its second target, and [DONE] behind it if the engine sent that, so a cut completion looked whole.

Cause: an event with an unknown member is forwarded as it is; nothing told an error apart from it.

The adapter now ends such a stream with ErrGivenUp.

--- a/internal/engine/httpengine/answer.go
+++ b/internal/engine/httpengine/answer.go
@@ -21,6 +21,9 @@
 // ErrTruncated says that a stream closed without its end mark.
 var ErrTruncated = errors.New("stream truncated")
 
+// ErrGivenUp says that a stream has an error event, which is no part of a completion whatever follows it.
+var ErrGivenUp = errors.New("engine gave the run up")
+
 // errLongEvent says that an event of a stream is longer than maxEvent.
 var errLongEvent = errors.New("event of a stream is too long")
 
@@ -229,6 +232,9 @@
 	if err != nil {
 		return engine.Piece{}, fmt.Errorf("event of a stream: %w", err)
 	}
+	if set(e.Error) {
+		return engine.Piece{}, ErrGivenUp
+	}
 	a.account(e)
 	text := e.text()
 	if e.TokenCount == 0 && text != "" && !e.rich {
--- a/internal/engine/httpengine/event.go
+++ b/internal/engine/httpengine/event.go
@@ -21,6 +21,7 @@
 	Usage             *streamUsage    `json:"usage"`
 	TokenOffset       uint64          `json:"token_offset"`
 	TokenCount        uint32          `json:"token_count"`
+	Error             json.RawMessage `json:"error"` // set instead of choices if the engine gives up the run
 
 	rich bool
 }
--- a/internal/engine/httpengine/httpengine_test.go
+++ b/internal/engine/httpengine/httpengine_test.go
@@ -476,6 +476,7 @@
 		"blank lines":     {event(0, "a") + "\n\n\n", []string{"a"}, ErrTruncated},
 		"empty data":      {event(0, "a") + "data:\n\n", []string{"a"}, ErrTruncated},
 		"gap":             {event(0, "a") + event(5, "b"), []string{"a"}, nil},
+		"error event":     {event(0, "a") + "data: {\"error\": {\"message\": \"out of memory\"}}\n\ndata: [DONE]\n\n", []string{"a"}, ErrGivenUp},
 		"whole":           {event(0, "a") + event(1, "b") + "data: [DONE]\n\n", []string{"ab"}, io.EOF},
 	} {
 		t.Run(name, func(t *testing.T) {
