entry: forward every model answer that is no token stream as it is

Seen by callers: an engine's 400, 404, 413, 429, 204, 206 or 302 without a Content-Type, or with the type of an event stream, reached the caller of a completion as 200 with a whole completion whose text was the body of the error; a stream got the error as text and [DONE] behind it.

Cause: the sidecar's adapter reads an answer as tokens if it has status 200 and the type of an event stream; the entry took any answer without a type, or with that prefix, for tokens, whatever its status. Bytes were delivered as text.

Evidence: TestFirstAnswerIsNoCompletion (new) failed before the change with "neither the engine's answer nor an error: status 200" for these answers and passes now, over HTTP/1.1 and HTTP/2, streamed or not, whole and cut.

Both sides now ask wire.StreamsTokens. A missing type stays missing.

--- a/internal/engine/httpengine/model.go
+++ b/internal/engine/httpengine/model.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -106,8 +105,7 @@
 }
 
 func streamed(resp *http.Response) bool {
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream" && resp.StatusCode == http.StatusOK
+	return wire.StreamsTokens(resp.StatusCode, resp.Header.Get("Content-Type"))
 }
 
 // extendBody adds this system's fields to the caller's body and keeps all others as they are.
--- a/internal/engine/wire/wire.go
+++ b/internal/engine/wire/wire.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"mime"
+	"net/http"
 
 	"github.com/egrethoist/egrethoist/internal/engine"
 )
@@ -32,6 +34,16 @@
 // StreamDone is the data of the last event of a whole stream.
 const StreamDone = "[DONE]"
 
+// EventStream is the media type of a streamed answer.
+const EventStream = "text/event-stream"
+
+// StreamsTokens reports whether an answer is a stream of tokens. Any other answer is forwarded as it is. The sidecar, which
+// reads the answer, and the entry, which writes it, must agree: bytes taken for text make a completion of an error.
+func StreamsTokens(status int, contentType string) bool {
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == EventStream && status == http.StatusOK
+}
+
 // CompletionRequest is the body of both completion calls. Prompt or Messages is set.
 type CompletionRequest struct {
 	Model         string          `json:"model,omitempty"`
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/egrethoist/egrethoist/internal/engine/wire"
 )
 
 // sink writes one response to the caller. Its methods are called in order by one goroutine.
@@ -179,7 +181,7 @@
 func (s *modelSink) resumable() bool { return !s.passthrough && !s.deliveredEvents }
 
 func (s *modelSink) head(status int, header http.Header) error {
-	if mediaType := header.Get("Content-Type"); mediaType != "" && !strings.HasPrefix(mediaType, eventStream) {
+	if mediaType := header.Get("Content-Type"); !wire.StreamsTokens(status, mediaType) {
 		return s.passthroughHead(status, mediaType)
 	}
 	if !s.stream {
@@ -187,22 +189,23 @@
 	}
 	s.headSent = true
 	h := s.w.Header()
-	h.Set("Content-Type", eventStream)
+	h.Set("Content-Type", wire.EventStream)
 	h.Set("Cache-Control", "no-store")
 	h.Set(HeaderRequestID, s.requestID)
 	s.w.WriteHeader(status)
 	return http.NewResponseController(s.w).Flush()
 }
 
-// eventStream is the media type of server-sent events.
-const eventStream = "text/event-stream"
-
 // passthroughHead starts a response that is forwarded unchanged: an error of the engine, or a complete response that
 // contains more than text.
 func (s *modelSink) passthroughHead(status int, mediaType string) error {
 	s.passthrough, s.headSent = true, true
 	h := s.w.Header()
-	h.Set("Content-Type", mediaType)
+	if mediaType == "" {
+		h["Content-Type"] = nil // net/http must not guess what the engine left out
+	} else {
+		h.Set("Content-Type", mediaType)
+	}
 	h.Set(HeaderRequestID, s.requestID)
 	s.w.WriteHeader(status)
 	return nil
--- /dev/null
+++ b/internal/fleet/brokenoff_test.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egrethoist/egrethoist/internal/engine"
+	"github.com/egrethoist/egrethoist/internal/world"
+)
+
+// script answers the call of one attempt instead of a target's stand-in. It returns false to leave the call to it.
+type script func(attempt string, w http.ResponseWriter, r *http.Request) bool
+
+// scripted lets the bed's script answer calls that belong to an attempt.
+func (b *bed) scripted(_ *world.Target, standIn http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		attempt := r.Header.Get(engine.HeaderAttempt)
+		if s := b.script.Load(); s != nil && attempt != "" && (*s)(attempt, w, r) {
+			return
+		}
+		standIn.ServeHTTP(w, r)
+	})
+}
+
+// marker is in the body of every scripted answer that continues nothing.
+const marker = "other-answer"
+
+// scriptedAnswer is an answer that is not the continuation of a stream.
+type scriptedAnswer struct {
+	status      int
+	contentType string // empty: none
+	body        string
+}
+
+func (a scriptedAnswer) String() string {
+	return fmt.Sprintf("%d %q %d bytes", a.status, a.contentType, len(a.body))
+}
+
+// write writes the answer; with cut it breaks off in the middle of the body.
+func (a scriptedAnswer) write(w http.ResponseWriter, cut bool) {
+	w.Header()["Content-Type"] = nil // net/http must not guess it
+	if a.contentType != "" {
+		w.Header().Set("Content-Type", a.contentType)
+	}
+	w.WriteHeader(a.status)
+	if cut {
+		_, _ = io.WriteString(w, a.body[:len(a.body)/2])
+		abort(w)
+	}
+	_, _ = io.WriteString(w, a.body)
+}
+
+// abort cuts the connection after what has been written has left.
+func abort(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(10 * time.Millisecond)
+	panic(http.ErrAbortHandler)
+}
+
+const largeBody = 300 << 10
+
+// otherAnswers returns answers of each status and size.
+func otherAnswers() []scriptedAnswer {
+	var list []scriptedAnswer
+	for _, status := range []int{500, 502, 504, 503, 429, 400, 404, 413, 204, 206, 302, 200} {
+		if status == http.StatusNoContent {
+			list = append(list, scriptedAnswer{status, "", ""}, scriptedAnswer{status, "text/event-stream", ""})
+			continue
+		}
+		for _, kind := range []string{"text/plain", "application/json", ""} {
+			small := marker
+			if kind == "application/json" {
+				small = `{"error": {"message": "` + marker + `"}}`
+			}
+			large := small + strings.Repeat(" ", largeBody)
+			list = append(list, scriptedAnswer{status, kind, small}, scriptedAnswer{status, kind, ""})
+			if kind != "" {
+				list = append(list, scriptedAnswer{status, kind, large})
+			}
+		}
+		if status != http.StatusOK {
+			list = append(list, scriptedAnswer{status, "text/event-stream", "data: {\"choices\": [], \"object\": \"" + marker + "\"}\n\ndata: [DONE]\n\n"})
+		}
+	}
+	return list
+}
+
+// modelCall is a model call of a caller.
+type modelCall struct {
+	chat, stream bool
+}
+
+func (c modelCall) path() string {
+	if c.chat {
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+func (c modelCall) body(more string) string {
+	prompt := `"prompt": "book it"`
+	if c.chat {
+		prompt = `"messages": [{"role": "user", "content": "book it"}]`
+	}
+	return fmt.Sprintf(`{"model": "planner-llm", %s, "max_tokens": %d, "stream": %t%s}`, prompt, callTokens, c.stream, more)
+}
+
+const callTokens = 20
+
+// pause is the time between two calls, after which the retry budget bears two more attempts.
+const pause = 3 * time.Second
+
+// callerAnswer is what a caller has received. err is the error of the read of the body: the answer was broken off.
+type callerAnswer struct {
+	status      int
+	contentType string
+	body        string
+	err         error
+}
+
+func (b *bed) call(client *http.Client, path, body string) callerAnswer {
+	req, err := http.NewRequest(http.MethodPost, b.Entries[0].URL+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+b.key)
+	resp, err := client.Do(req)
+	if err != nil {
+		return callerAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return callerAnswer{resp.StatusCode, resp.Header.Get("Content-Type"), string(data), err}
+}
+
+// clients returns callers over HTTP/1.1 and HTTP/2, in turn from one call to the next. Texts and chats begin
+// with different ones, so that both meet every answer.
+func (b *bed) clients(c modelCall) (next func() (protocol string, client *http.Client), closeIdle func()) {
+	h2 := &http.Transport{DialContext: b.net.Dialer("caller"), Protocols: new(http.Protocols)}
+	h2.Protocols.SetUnencryptedHTTP2(true)
+	calls := 0
+	if c.chat {
+		calls = 1
+	}
+	return func() (string, *http.Client) {
+		if calls++; calls%2 == 0 {
+			return "HTTP/2", &http.Client{Transport: h2}
+		}
+		return "HTTP/1.1", b.caller
+	}, h2.CloseIdleConnections
+}
+
+// Guards against an answer of the engine that is no completion and reaches the caller as one, or in another form than the
+// engine gave it.
+func TestFirstAnswerIsNoCompletion(t *testing.T) {
+	for _, c := range []modelCall{{false, false}, {false, true}, {true, false}, {true, true}} {
+		t.Run(fmt.Sprintf("chat %t stream %t", c.chat, c.stream), func(t *testing.T) {
+			run(t, small(t, 4), func(b *bed) {
+				nextClient, closeClients := b.clients(c)
+				defer closeClients()
+				body := c.body("")
+				for _, other := range otherAnswers() {
+					if other.status == http.StatusOK && strings.Contains(other.body, "finish_reason") {
+						continue // a whole completion if nothing goes before it
+					}
+					protocol, client := nextClient()
+					for _, cut := range []bool{false, true} {
+						if cut && other.body == "" {
+							continue
+						}
+						s := script(func(_ string, w http.ResponseWriter, _ *http.Request) bool {
+							other.write(w, cut)
+							return true
+						})
+						b.script.Store(&s)
+						got := b.call(client, c.path(), body)
+						same := got.err == nil && got.status == other.status && got.body == other.body
+						var err error
+						switch {
+						case same && cut:
+							err = errors.New("whole though it was cut")
+						case same, cut && got.err != nil:
+						case got.status >= http.StatusBadRequest && strings.Contains(got.body, `"request_id"`):
+							// the entry's own error
+						case strings.Contains(got.body, `"code":"answer_interrupted"`) && !strings.Contains(got.body, "[DONE]"):
+							// the entry's own error at the end of a stream
+						default:
+							err = errors.New("neither the engine's answer nor an error")
+						}
+						if err != nil {
+							t.Errorf("%s, %v, cut %t: %v: status %d, %q, %.300q, %v", protocol, other, cut, err, got.status, got.contentType, got.body, got.err)
+						}
+						time.Sleep(pause)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -53,6 +53,7 @@
 	kv     *memory.KV
 
 	instances atomic.Pointer[entry.Instances] // the platform's list as entries read it; nil is not read
+	script    atomic.Pointer[script]          // answers instead of the stand-ins of targets; nil leaves them to answer
 }
 
 // list is the platform's list of instances as entries read it.
@@ -79,6 +80,7 @@
 			Seed:     1,
 			ErrorLog: newServerLog(t),
 			NewEntry: func(o *entry.Options) { o.Instances = b.list },
+			Backend:  b.scripted,
 		})
 		if err != nil {
 			t.Fatal(err)
