sidecar: a model stream without a finish reason is not complete

Seen by callers: a stream cut after four of 20 tokens ended with [DONE], or a completion that is not streamed came as a whole JSON object, with an empty finish reason, when the second target answered the resumed attempt with a stream of nothing but its end mark.

Cause: the sidecar reported such a stream as complete at the offset from which it was resumed, and the entry cannot tell that from a resumed stream that had nothing left to say.

Evidence: TestResumedStreamMeetsAnotherAnswer (new) cuts a stream in its third event and gives twelve statuses with small, empty and 300 KB bodies of several types, and streams without events, as the answer of the second or of all later targets. Before the change it failed with "looks whole" for the streams with nothing but [DONE]; all other answers were refused by the entry as no continuation. It passes now, over HTTP/1.1 and HTTP/2.

The sidecar now fails the attempt, so that the entry resumes elsewhere or ends the answer as interrupted.

--- a/internal/fleet/brokenoff_test.go
+++ b/internal/fleet/brokenoff_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,7 +67,7 @@
 
 const largeBody = 300 << 10
 
-// otherAnswers returns answers of each status and size.
+// otherAnswers returns answers of each status and size, and event streams that end without their last event.
 func otherAnswers() []scriptedAnswer {
 	var list []scriptedAnswer
 	for _, status := range []int{500, 502, 504, 503, 429, 400, 404, 413, 204, 206, 302, 200} {
@@ -88,6 +90,15 @@
 			list = append(list, scriptedAnswer{status, "text/event-stream", "data: {\"choices\": [], \"object\": \"" + marker + "\"}\n\ndata: [DONE]\n\n"})
 		}
 	}
+	const eventless = ": " + marker + "\n\n"
+	for _, kind := range []string{"text/event-stream", "text/event-stream; charset=utf-8"} {
+		for _, body := range []string{"", eventless, "data: [DONE]\n\n", eventless + "data: [DONE]\n\n",
+			"data: {\"choices\": [{\"index\": 0, \"text\": \"" + marker + "\", \"finish_reason\": \"length\"}], \"token_offset\": 0, \"token_count\": 20}\n\ndata: [DONE]\n\n",
+			"data: {\"error\": {\"message\": \"" + marker + "\"}}\n\ndata: [DONE]\n\n",
+		} {
+			list = append(list, scriptedAnswer{http.StatusOK, kind, body})
+		}
+	}
 	return list
 }
 
@@ -116,6 +127,24 @@
 // pause is the time between two calls, after which the retry budget bears two more attempts.
 const pause = 3 * time.Second
 
+// cutStream writes two events of a sound stream and half of the third, and cuts the connection.
+func (b *bed) cutStream(c modelCall, body string, w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range 3 {
+		member, _ := json.Marshal(b.text(body, 2*i, 2*i+2))
+		text := `"text": ` + string(member)
+		if c.chat {
+			text = `"delta": {"content": ` + string(member) + `}`
+		}
+		event := fmt.Sprintf("data: {\"choices\": [{\"index\": 0, %s}], \"token_offset\": %d, \"token_count\": 2}\n\n", text, 2*i)
+		if i == 2 {
+			event = event[:len(event)/2]
+		}
+		_, _ = io.WriteString(w, event)
+	}
+	abort(w)
+}
+
 // callerAnswer is what a caller has received. err is the error of the read of the body: the answer was broken off.
 type callerAnswer struct {
 	status      int
@@ -139,6 +168,52 @@
 	return callerAnswer{resp.StatusCode, resp.Header.Get("Content-Type"), string(data), err}
 }
 
+// completion returns the text and the finish reason of a completion or of a stream that looks whole to a caller.
+func (a callerAnswer) completion() (text, reason string, whole bool) {
+	type choice struct {
+		Text           string
+		Delta, Message struct{ Content string }
+		FinishReason   *string `json:"finish_reason"`
+	}
+	type part struct{ Choices []choice }
+	add := func(data string) (isPart bool) {
+		var p part
+		if json.Unmarshal([]byte(data), &p) != nil {
+			return false
+		}
+		for _, c := range p.Choices {
+			text += c.Text + c.Delta.Content + c.Message.Content
+			if c.FinishReason != nil {
+				reason += *c.FinishReason
+			}
+		}
+		return len(p.Choices) > 0
+	}
+	if a.err != nil {
+		return "", "", false
+	}
+	if !strings.HasPrefix(a.contentType, "text/event-stream") {
+		whole = add(a.body)
+		return text, reason, whole
+	}
+	for line := range strings.SplitSeq(a.body, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok && data == "[DONE]" {
+			whole = true
+		} else if ok {
+			add(data)
+		}
+	}
+	return text, reason, whole
+}
+
+// checkCompletion fails if the answer looks whole and isn't the one that the engine gives.
+func (a callerAnswer) checkCompletion(want string) error {
+	if text, reason, whole := a.completion(); whole && (text != want || reason != "length" || a.status != http.StatusOK) {
+		return fmt.Errorf("looks whole: text %q, want %q; finish reason %q", text, want, reason)
+	}
+	return nil
+}
+
 // clients returns callers over HTTP/1.1 and HTTP/2, in turn from one call to the next. Texts and chats begin
 // with different ones, so that both meet every answer.
 func (b *bed) clients(c modelCall) (next func() (protocol string, client *http.Client), closeIdle func()) {
@@ -156,6 +231,62 @@
 	}, h2.CloseIdleConnections
 }
 
+// Guards against an answer of a later attempt that is written into the begun one, as in the incident of 2026-12-04, and
+// against the broken answer being ended as whole: the first target cuts a stream in its third event, the next ones give an
+// answer that continues nothing, all of them or only the second.
+func TestResumedStreamMeetsAnotherAnswer(t *testing.T) {
+	for _, c := range []modelCall{{false, false}, {false, true}, {true, false}, {true, true}} {
+		for _, all := range []bool{false, true} {
+			if c.chat && all {
+				continue // chats differ from texts in the members of events only
+			}
+			t.Run(fmt.Sprintf("chat %t stream %t all %t", c.chat, c.stream, all), func(t *testing.T) {
+				run(t, small(t, 4), func(b *bed) {
+					nextClient, closeClients := b.clients(c)
+					defer closeClients()
+					body := c.body("")
+					want := b.text(body, 0, callTokens)
+					for _, other := range otherAnswers() {
+						protocol, client := nextClient()
+						var others atomic.Int32
+						s := script(func(attempt string, w http.ResponseWriter, _ *http.Request) bool {
+							if attempt == "1" {
+								b.cutStream(c, body, w)
+							}
+							if attempt != "2" && !all {
+								return false
+							}
+							others.Add(1)
+							other.write(w, false)
+							return true
+						})
+						b.script.Store(&s)
+						got := b.call(client, c.path(), body)
+						err := got.checkCompletion(want)
+						if strings.Contains(got.body, marker) {
+							err = errors.Join(err, errors.New("holds a part of the other answer"))
+						}
+						_, _, whole := got.completion()
+						if all && got.status == http.StatusOK && whole {
+							err = errors.Join(err, errors.New("is whole though no target ended it"))
+						}
+						if !all && !whole {
+							err = errors.Join(err, errors.New("was not resumed at the third target"))
+						}
+						if others.Load() == 0 {
+							err = errors.Join(err, errors.New("the other answer was not asked for"))
+						}
+						if err != nil {
+							t.Errorf("%s, %v: %v: status %d, %.300q, %v", protocol, other, err, got.status, got.body, got.err)
+						}
+						time.Sleep(pause)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against an answer of the engine that is no completion and reaches the caller as one, or in another form than the
 // engine gave it.
 func TestFirstAnswerIsNoCompletion(t *testing.T) {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -12,6 +12,7 @@
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/internal/admission"
 	"github.com/egrethoist/egrethoist/internal/engine"
+	"github.com/egrethoist/egrethoist/internal/engine/wire"
 )
 
 // maxBodyBytes is the largest request body that is not streamed; the sidecar holds it in memory.
@@ -217,6 +218,10 @@
 	return r.copyAnswer(answer, out, sent)
 }
 
+// errNoFinishReason is the error of a stream whose end mark came before the reason for its end. Such a stream is not a
+// completion: an engine that has nothing to add to a resumed stream still says why it ends.
+var errNoFinishReason = errors.New("stream ended without a finish reason")
+
 // copyAnswer writes the response of the target to out. sent is the time at which the request was sent.
 func (r *attemptRun) copyAnswer(answer engine.Answer, out answerWriter, sent time.Time) admission.Sample {
 	sample := admission.Sample{}
@@ -243,6 +248,10 @@
 		}}})
 	}
 	usage := answer.Usage()
+	if usage.FinishReason == "" && r.s.opts.Model != nil && wire.StreamsTokens(answer.Status(), answer.Header().Get("Content-Type")) {
+		out.send(r.failureMessage("read answer", errNoFinishReason))
+		return failureSample(errNoFinishReason, time.Since(sent))
+	}
 	if r.upload == nil || !r.upload.exceedsPrefix() {
 		// The time to send a larger body depends on the caller and is no measure of the target.
 		sample.Expected = r.s.estimate.unloadedCost(r.open, usage)
