entry: give what a caller has been sent one owner

Seen: nothing by callers so far; a handler that returned without end or fail, or after a failed write, was ended by net/http as complete, and nothing stopped a second status, a piece before the status or an end after an error. echo drops a second status without a line of the server's log.

Cause: both sinks and writeError held the response writer, and the only state was one flag.

callerAnswer holds what was sent (nothing, begun, ended, failing), returns an error for anything out of order, and settle breaks the connection off when the handler returns without an end. The error event still ends a stream in order, without [DONE].

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -95,14 +95,16 @@
 	if fail != nil {
 		return fail
 	}
+	answer := &callerAnswer{w: c.Response()}
 	out := &modelSink{
-		responder: responder{w: c.Response(), requestID: req.ID},
+		responder: responder{answer: answer, requestID: req.ID},
 		model:     req.Service.Name,
 		chat:      strings.HasSuffix(req.Path, "/chat/completions"),
 		stream:    req.Stream,
 		created:   time.Now().Unix(),
 	}
 	e.serve(c.Request().Context(), req, out)
+	answer.settle()
 	return nil
 }
 
@@ -116,8 +118,10 @@
 		// By default an HTTP/1.1 server reads the whole body before it responds. HTTP/2 is always full duplex.
 		_ = http.NewResponseController(c.Response()).EnableFullDuplex()
 	}
-	out := &plainSink{responder: responder{w: c.Response(), requestID: req.ID}, body: req.Body}
+	answer := &callerAnswer{w: c.Response()}
+	out := &plainSink{responder: responder{answer: answer, requestID: req.ID}, body: req.Body}
 	e.serve(c.Request().Context(), req, out)
+	answer.settle()
 	if c.Request().ProtoMajor == 1 {
 		req.Body.drain(c.Request().Context(), c.Response())
 	}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -21,7 +21,8 @@
 	event(json, text []byte) error
 	// end completes the response.
 	end(finish finishInfo) error
-	// fail writes an error, or ends a response that has started in such a way that the caller notices the failure.
+	// fail writes an error, or ends a response that has started in such a way that the caller notices the failure. If it
+	// cannot, the response is left without an end and broken off by its handler.
 	fail(err *Error)
 	// started reports whether any part of the response has been written.
 	started() bool
@@ -39,20 +40,28 @@
 
 // responder is the common part of the sinks.
 type responder struct {
-	w         http.ResponseWriter
+	answer    *callerAnswer
 	requestID string
-	headSent  bool
 }
 
-func (r *responder) started() bool { return r.headSent }
+func (r *responder) started() bool { return r.answer.begun() }
 
 func (r *responder) writeError(err *Error) {
-	writeError(r.w, r.requestID, err)
+	data := setErrorHeader(r.answer.header(), r.requestID, err)
+	if r.answer.begin(err.status()) == nil && r.answer.write(data) == nil {
+		_ = r.answer.end() // fails only for an answer that is over
+	}
 }
 
-// writeError writes an error response.
+// writeError writes the error response of a handler that has written nothing.
 func writeError(w http.ResponseWriter, requestID string, err *Error) {
-	h := w.Header()
+	data := setErrorHeader(w.Header(), requestID, err)
+	w.WriteHeader(err.status())
+	w.Write(data)
+}
+
+// setErrorHeader sets the headers of an error response and returns its body.
+func setErrorHeader(h http.Header, requestID string, err *Error) []byte {
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, string(err.Outcome))
 	h.Set(HeaderRequestID, requestID)
@@ -62,8 +71,7 @@
 	data, _ := json.Marshal(err.body(requestID)) // cannot fail: strings and a number only
 	data = append(data, '\n')
 	h.Set("Content-Length", strconv.Itoa(len(data)))
-	w.WriteHeader(err.status())
-	w.Write(data)
+	return data
 }
 
 // plainSink writes the response of a plain service unchanged.
@@ -76,7 +84,7 @@
 // Otherwise the rest of the body would be parsed as the next request.
 func (s *plainSink) closeIfBodyUnread() {
 	if !s.body.sourceEOF.Load() {
-		s.w.Header().Set("Connection", "close")
+		s.answer.header().Set("Connection", "close")
 	}
 }
 
@@ -87,9 +95,11 @@
 }
 
 func (s *plainSink) head(status int, header http.Header) error {
-	s.headSent = true
+	if s.started() {
+		return errAnswerBegun // before the headers change
+	}
 	s.closeIfBodyUnread()
-	h := s.w.Header()
+	h := s.answer.header()
 	connection := h.Values("Connection") // set by closeWhenStopping or closeIfBodyUnread
 	for name, values := range header {
 		h[name] = values
@@ -101,29 +111,27 @@
 		h["Connection"] = connection
 	}
 	h.Set(HeaderRequestID, s.requestID)
-	s.w.WriteHeader(status)
-	return nil
+	return s.answer.begin(status)
 }
 
 func (s *plainSink) piece(data []byte) error {
-	_, err := s.w.Write(data)
-	if err != nil {
+	if err := s.answer.write(data); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.answer.flush()
 }
 
 func (s *plainSink) event(_, data []byte) error { return s.piece(data) }
 
-func (s *plainSink) end(finishInfo) error { return nil }
+func (s *plainSink) end(finishInfo) error { return s.answer.end() }
 
 // resumable returns true because package attempt never resumes plain responses.
 func (s *plainSink) resumable() bool { return true }
 
-// fail aborts the connection if the response has started, because a regular end would make a truncated body look complete.
+// fail leaves a response that has started without an end, because a regular end would make a truncated body look complete.
 func (s *plainSink) fail(err *Error) {
-	if s.headSent {
-		panic(http.ErrAbortHandler)
+	if s.started() {
+		return
 	}
 	s.closeIfBodyUnread()
 	s.writeError(err)
@@ -187,28 +195,34 @@
 	if !s.stream {
 		return nil
 	}
-	s.headSent = true
-	h := s.w.Header()
+	if s.started() {
+		return errAnswerBegun // before the headers change
+	}
+	h := s.answer.header()
 	h.Set("Content-Type", wire.EventStream)
 	h.Set("Cache-Control", "no-store")
 	h.Set(HeaderRequestID, s.requestID)
-	s.w.WriteHeader(status)
-	return http.NewResponseController(s.w).Flush()
+	if err := s.answer.begin(status); err != nil {
+		return err
+	}
+	return s.answer.flush()
 }
 
 // passthroughHead starts a response that is forwarded unchanged: an error of the engine, or a complete response that
 // contains more than text.
 func (s *modelSink) passthroughHead(status int, mediaType string) error {
-	s.passthrough, s.headSent = true, true
-	h := s.w.Header()
+	if s.started() {
+		return errAnswerBegun // before the headers change
+	}
+	s.passthrough = true
+	h := s.answer.header()
 	if mediaType == "" {
 		h["Content-Type"] = nil // net/http must not guess what the engine left out
 	} else {
 		h.Set("Content-Type", mediaType)
 	}
 	h.Set(HeaderRequestID, s.requestID)
-	s.w.WriteHeader(status)
-	return nil
+	return s.answer.begin(status)
 }
 
 // event forwards an event of the engine with its identity members (such as id and model) replaced by those of this
@@ -252,8 +266,7 @@
 
 func (s *modelSink) piece(data []byte) error {
 	if s.passthrough {
-		_, err := s.w.Write(data)
-		return err
+		return s.answer.write(data)
 	}
 	if !s.stream {
 		s.text.Write(data)
@@ -264,7 +277,7 @@
 
 func (s *modelSink) end(f finishInfo) error {
 	if s.passthrough {
-		return nil
+		return s.answer.end()
 	}
 	usage := &completionUsage{
 		PromptTokens:     f.PromptTokens,
@@ -282,27 +295,42 @@
 	if err := s.writeJSONEvent(last); err != nil {
 		return err
 	}
-	return s.writeEvent([]byte("[DONE]"))
+	if err := s.writeEvent([]byte("[DONE]")); err != nil {
+		return err
+	}
+	return s.answer.end()
 }
 
-// fail ends a stream that has started with an error event and without the end marker. A forwarded response is aborted.
+// fail ends a stream that has started with an error event and without the end marker. A forwarded response, and one that is
+// not streamed, is left without an end.
 func (s *modelSink) fail(err *Error) {
-	if !s.headSent {
+	switch {
+	case !s.started():
 		s.writeError(err)
-		return
+	case s.stream && !s.passthrough && s.writeJSONEvent(err.body(s.requestID)) == nil:
+		_ = s.answer.end() // fails only for an answer that is over
 	}
-	if s.passthrough {
-		panic(http.ErrAbortHandler)
-	}
-	s.writeJSONEvent(err.body(s.requestID))
 }
 
 // writeWhole writes a response that is not streamed.
 func (s *modelSink) writeWhole(c completion) error {
-	s.headSent = true
-	s.w.Header().Set("Content-Type", "application/json")
-	s.w.Header().Set(HeaderRequestID, s.requestID)
-	return json.NewEncoder(s.w).Encode(c)
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if s.started() {
+		return errAnswerBegun // before the headers change
+	}
+	h := s.answer.header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRequestID, s.requestID)
+	if err := s.answer.begin(http.StatusOK); err != nil {
+		return err
+	}
+	if err := s.answer.write(append(data, '\n')); err != nil {
+		return err
+	}
+	return s.answer.end()
 }
 
 // completion returns the JSON form of an event or of a complete response. finish and usage are nil except at the end.
@@ -344,8 +372,8 @@
 	buf = append(buf, "data: "...)
 	buf = append(buf, data...)
 	buf = append(buf, "\n\n"...)
-	if _, err := s.w.Write(buf); err != nil {
+	if err := s.answer.write(buf); err != nil {
 		return err
 	}
-	return http.NewResponseController(s.w).Flush()
+	return s.answer.flush()
 }
