entry: refuse chunks and ends of an attempt without a head

No caller has seen it: a sidecar sends the head first. An entry that got a chunk or an end without it delivered it, though only the head of an attempt shows that it continues what was delivered; an end alone made an empty answer complete.

Such an attempt, or one with a second head, now ends as malformed, like one whose head is no continuation.

--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -36,6 +36,7 @@
 	attempt   attempt.Attempt
 	failure   retry.Failure
 	final     bool   // another attempt cannot succeed
+	hasHead   bool   // status and headers have arrived
 	keyNotRun bool   // the home confirmed that the caller's key has not run
 	err       *Error // nil if the response is complete
 }
@@ -263,6 +264,11 @@
 // handleHead delivers status and headers. In later attempts it checks that they match those already delivered.
 func (d *dispatch) handleHead(c *routing.Candidate, res *result, m *egretv1.Head) {
 	d.applyEvent(res, attempt.HeadReceived)
+	if res.hasHead {
+		d.assemblyFailed(c, res, stream.FaultMalformed)
+		return
+	}
+	res.hasHead = true
 	if d.headDelivered {
 		if m.Status != d.req.answer.status || contentType(m.Headers) != d.contentType {
 			// The response is not a continuation of what was delivered.
@@ -297,6 +303,11 @@
 
 // handleChunk delivers the part of a chunk that the caller does not have yet.
 func (d *dispatch) handleChunk(c *routing.Candidate, res *result, m *egretv1.Chunk) {
+	if !res.hasHead {
+		// Nothing shows that the chunk continues what was delivered.
+		d.assemblyFailed(c, res, stream.FaultMalformed)
+		return
+	}
 	data, fault := d.assembler.Accept(stream.Piece{
 		RequestID: d.req.ID,
 		Attempt:   d.attemptNumber,
@@ -330,6 +341,10 @@
 
 // handleEnd completes the response. A failed write to the caller is only counted, because the request did run completely.
 func (d *dispatch) handleEnd(c *routing.Candidate, res *result, m *egretv1.End) {
+	if !res.hasHead {
+		d.assemblyFailed(c, res, stream.FaultMalformed)
+		return
+	}
 	fault := d.assembler.Finish(stream.End{RequestID: d.req.ID, Attempt: d.attemptNumber, Total: m.Total})
 	if fault != stream.FaultNone {
 		d.assemblyFailed(c, res, fault)
