--- a/internal/fleet/brokenoff_test.go
+++ b/internal/fleet/brokenoff_test.go
@@ -153,8 +153,8 @@
 	err         error
 }
 
-func (b *bed) call(client *http.Client, path, body string) callerAnswer {
-	req, err := http.NewRequest(http.MethodPost, b.Entries[0].URL+path, bytes.NewReader([]byte(body)))
+func (b *bed) call(client *http.Client, method, path, body string) callerAnswer {
+	req, err := http.NewRequest(method, b.Entries[0].URL+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -261,7 +261,7 @@
 							return true
 						})
 						b.script.Store(&s)
-						got := b.call(client, c.path(), body)
+						got := b.call(client, http.MethodPost, c.path(), body)
 						err := got.checkCompletion(want)
 						if strings.Contains(got.body, marker) {
 							err = errors.Join(err, errors.New("holds a part of the other answer"))
@@ -310,7 +310,7 @@
 							return true
 						})
 						b.script.Store(&s)
-						got := b.call(client, c.path(), body)
+						got := b.call(client, http.MethodPost, c.path(), body)
 						same := got.err == nil && got.status == other.status && got.body == other.body
 						var err error
 						switch {
@@ -334,3 +334,40 @@
 		})
 	}
 }
+
+// Guards against a plain answer that is cut and reaches the caller as whole, or goes on with the answer of another target: a
+// repeatable call is repeated only while the caller has nothing.
+func TestCutPlainAnswerIsNotContinued(t *testing.T) {
+	run(t, uploadWorld(t), func(b *bed) {
+		nextClient, closeClients := b.clients(modelCall{})
+		defer closeClients()
+		first := strings.Repeat("first ", largeBody/6)
+		for _, method := range []string{http.MethodPut, http.MethodPost} { // repeatable, and not
+			for _, size := range []int{1, 64, largeBody / 2} {
+				for _, declared := range []bool{false, true} {
+					for range 2 {
+						protocol, client := nextClient()
+						s := script(func(attempt string, w http.ResponseWriter, _ *http.Request) bool {
+							if attempt != "1" {
+								scriptedAnswer{http.StatusOK, "text/plain", marker}.write(w, false)
+								return true
+							}
+							if declared {
+								w.Header().Set("Content-Length", fmt.Sprint(len(first)))
+							}
+							_, _ = io.WriteString(w, first[:size])
+							abort(w)
+							return true
+						})
+						b.script.Store(&s)
+						got := b.call(client, method, echoPath, "x")
+						if got.err == nil || strings.Contains(got.body, marker) {
+							t.Errorf("%s %s, %d bytes, declared %t: status %d, %.100q, %v", protocol, method, size, declared, got.status, got.body, got.err)
+						}
+						time.Sleep(pause)
+					}
+				}
+			}
+		}
+	})
+}
