kvcache/index: a page without its last events is a gap

A page of cache events names the position to read next. A page whose events end before it was applied as complete: the index skipped the missing events without listing the cache again, and blocks that were evicted stayed in it for good.

The new test failed before for a page without its last event and for one without any; a page without its first or a middle event was a gap before.

--- a/internal/kvcache/index/index.go
+++ b/internal/kvcache/index/index.go
@@ -104,7 +104,10 @@
 	for _, e := range page.Events {
 		x.applyEvent(e)
 	}
-	x.nextSequence = max(x.nextSequence, page.Next)
+	if page.Next > x.nextSequence {
+		x.stale = true // the last events of the page are missing
+		x.nextSequence = page.Next
+	}
 	if x.stale {
 		return Gap
 	}
--- a/internal/kvcache/index/index_test.go
+++ b/internal/kvcache/index/index_test.go
@@ -160,3 +160,29 @@
 		}
 	}
 }
+
+// A page whose events end before the position from which to read next has lost its last events. Taken for complete, blocks that were evicted
+// stay in the index for good.
+func TestPageWithoutItsLastEventsIsAGap(t *testing.T) {
+	event := func(sequence uint64) engine.CacheEvent {
+		return engine.CacheEvent{Sequence: sequence, Kind: engine.EventStored, Block: fmt.Sprintf("%064x", sequence+1), Tokens: 16}
+	}
+	for name, c := range map[string]struct {
+		page engine.CacheEvents
+		want Outcome
+	}{
+		"all events":         {engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{event(0), event(1), event(2)}}, Applied},
+		"no events yet":      {engine.CacheEvents{}, Applied},
+		"without the last":   {engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{event(0), event(1)}}, Gap},
+		"without the middle": {engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{event(0), event(2)}}, Gap},
+		"without the first":  {engine.CacheEvents{Next: 3, Events: []engine.CacheEvent{event(1), event(2)}}, Gap},
+		"without any":        {engine.CacheEvents{Next: 3}, Gap},
+	} {
+		x := New(Options{})
+		x.Replace(engine.CacheEvents{Incarnation: "a"})
+		c.page.Incarnation = "a"
+		if got := x.Apply(c.page); got != c.want || x.NextSequence() != c.page.Next {
+			t.Errorf("%s: %v, next %d; want %v, next %d", name, got, x.NextSequence(), c.want, c.page.Next)
+		}
+	}
+}
