httpengine: a report or list without its fields is an error

"null" and an object of something else decoded into zero values: an engine that runs nothing, by which the watchdog ends a stream, or one that holds no blocks. Reads of the load and of the prefix cache now need their fields (internal/jsonreply).

The new test failed before in 9 of 51 cases: null, an empty object and an object without the incarnation, for each of the three reads. Sound before: bodies that are cut, other statuses, redirects and trailing bytes.

--- a/internal/engine/httpengine/httpengine_test.go
+++ b/internal/engine/httpengine/httpengine_test.go
@@ -19,6 +19,7 @@
 	fakeengine "github.com/egrethoist/egrethoist/internal/fake/engine"
 	"github.com/egrethoist/egrethoist/internal/fake/network"
 	"github.com/egrethoist/egrethoist/internal/fake/plain"
+	"github.com/egrethoist/egrethoist/internal/jsonreply"
 )
 
 const (
@@ -263,7 +264,7 @@
 
 func TestLongReplyIsRefused(t *testing.T) {
 	const limit = 1000
-	for size, want := range map[int]error{limit: nil, limit + 1: errLongReply, 3 * limit: errLongReply} {
+	for size, want := range map[int]error{limit: nil, limit + 1: jsonreply.ErrTooLong, 3 * limit: jsonreply.ErrTooLong} {
 		synctest.Test(t, func(t *testing.T) {
 			b := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				_, _ = io.WriteString(w, strings.Repeat("x", size))
@@ -514,3 +515,69 @@
 		})
 	}
 }
+
+// An answer to a read of the load or the prefix cache that is cut, or lacks its fields, must not be taken for an engine that is idle or holds
+// nothing.
+func TestIncompleteReadFails(t *testing.T) {
+	reads := map[string]struct {
+		body string
+		read func(ctx context.Context, m *Model) error
+	}{
+		"load": {
+			`{"Incarnation":"1","Running":3,"Waiting":0,"Versions":["v1"]}`,
+			func(ctx context.Context, m *Model) error { _, err := m.Load(ctx); return err },
+		},
+		"events": {
+			`{"Incarnation":"1","First":0,"Next":5,"Events":null}`,
+			func(ctx context.Context, m *Model) error { _, err := m.CacheEvents(ctx, 5, 0); return err },
+		},
+		"blocks": {
+			`{"Incarnation":"1","First":5,"Next":5,"Events":[]}`,
+			func(ctx context.Context, m *Model) error { _, err := m.CacheBlocks(ctx); return err },
+		},
+	}
+	for name, c := range reads {
+		body := c.body
+		head := func(status, length int) string {
+			return fmt.Sprintf("HTTP/1.1 %d S\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", status, length)
+		}
+		for fault, answer := range map[string]string{
+			"":                          head(200, len(body)) + body,
+			"shorter than its length":   head(200, len(body)+1) + body,
+			"cut between chunks":        fmt.Sprintf("HTTP/1.1 200 S\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body),
+			"closed inside the value":   "HTTP/1.1 200 S\r\n\r\n" + body[:len(body)/2],
+			"empty":                     head(200, 0),
+			"no content":                "HTTP/1.1 204 S\r\n\r\n",
+			"partial content":           head(206, len(body)) + body,
+			"redirect":                  "HTTP/1.1 302 S\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+			"null":                      head(200, 4) + "null",
+			"empty object":              head(200, 2) + "{}",
+			"without an incarnation":    head(200, len(body)-18) + "{" + body[len(`{"Incarnation":"1",`):],
+			"page":                      head(200, 13) + "<html></html>",
+			"two values":                head(200, 2*len(body)) + body + body,
+			"trailing bytes":            head(200, len(body)+1) + body + "]",
+			"closed before the value":   "HTTP/1.1 200 S\r\n\r\n",
+			"closed inside the chunk":   fmt.Sprintf("HTTP/1.1 200 S\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n{", len(body)),
+			"interim answer, then none": "HTTP/1.1 100 Continue\r\n\r\n",
+		} {
+			t.Run(name+" "+fault, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := network.New(0)
+					l, err := n.Listen(peer)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer l.Close()
+					go answerOnce(l, answer)
+					m := NewModel(Options{Address: peer, Dial: n.Dialer(local)})
+					defer m.Close()
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					if err := c.read(ctx, m); (err == nil) != (fault == "") {
+						t.Errorf("error %v", err)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/engine/httpengine/model.go
+++ b/internal/engine/httpengine/model.go
@@ -15,6 +15,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/engine"
 	"github.com/egrethoist/egrethoist/internal/engine/wire"
+	"github.com/egrethoist/egrethoist/internal/jsonreply"
 )
 
 // maxBlock bounds the size of an exported block in bytes.
@@ -23,8 +24,6 @@
 // maxReply bounds the size of a report or a list in bytes.
 const maxReply = 64 << 20
 
-var errLongReply = errors.New("too long")
-
 // ErrFenced says that the engine refused an order with an old fencing number.
 var ErrFenced = errors.New("old fencing number")
 
@@ -143,7 +142,7 @@
 // Load returns the engine's load report.
 func (m *Model) Load(ctx context.Context) (engine.LoadReport, error) {
 	var report engine.LoadReport
-	err := m.get(ctx, wire.PathLoad, &report)
+	err := m.get(ctx, wire.PathLoad, &report, "Incarnation", "Running", "Waiting")
 	return report, err
 }
 
@@ -152,14 +151,14 @@
 	path := wire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10) +
 		"&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	var page engine.CacheEvents
-	err := m.get(ctx, path, &page)
+	err := m.get(ctx, path, &page, "Incarnation", "First", "Next") // Events is null in a page without events
 	return page, err
 }
 
 // CacheBlocks lists the whole prefix cache.
 func (m *Model) CacheBlocks(ctx context.Context) (engine.CacheEvents, error) {
 	var page engine.CacheEvents
-	err := m.get(ctx, wire.PathCacheBlocks, &page)
+	err := m.get(ctx, wire.PathCacheBlocks, &page, "Incarnation", "Next")
 	return page, err
 }
 
@@ -238,17 +237,15 @@
 	}
 	defer cancel()
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errLongReply
-	}
+	body, err := jsonreply.Read(resp, limit)
 	if err != nil {
 		return wholeReply{}, fmt.Errorf("answer to %s from %s: %w", call.Path, m.opts.Address, err)
 	}
 	return wholeReply{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-func (m *Model) get(ctx context.Context, path string, into any) error {
+// get decodes the answer to a GET, which must have the required fields.
+func (m *Model) get(ctx context.Context, path string, into any, required ...string) error {
 	resp, err := m.roundTrip(ctx, engine.Call{Method: http.MethodGet, Path: path}, maxReply)
 	if err != nil {
 		return err
@@ -256,7 +253,10 @@
 	if resp.status != http.StatusOK {
 		return &StatusError{Peer: m.opts.Address, Path: path, Status: resp.status}
 	}
-	return json.Unmarshal(resp.body, into)
+	if err := jsonreply.Decode(resp.body, into, required...); err != nil {
+		return fmt.Errorf("answer to %s from %s: %w", path, m.opts.Address, err)
+	}
+	return nil
 }
 
 var _ engine.Model = (*Model)(nil)
