gateway: an answer that is refused as a second one is not the target's failure

Found by the review: no usual path leads there, but the outcome would have blamed the target in the evidence of crashes and of software versions.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -97,7 +97,7 @@
 	result.outcome, result.err = attemptServed, err
 	if errors.Is(err, errAnswerBegun) {
 		klog.ErrorS(err, "answer written into another one", "id", rq.call.ID, "target", result.target.id)
-		result.outcome = attemptBroken
+		result.outcome = attemptCanceled // not the target's fault
 	}
 }
 
