tests: one server of raw HTTP answers, internal/fake/rawhttp

Its three forms are now in one package: one answer per connection, several answers per connection, and a function for each connection.

Cases and checks are the same.

--- a/cmd/egret-gateway/peers_test.go
+++ b/cmd/egret-gateway/peers_test.go
@@ -1,40 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
-)
 
-// rawPeer starts a server that answers each request with the same bytes and closes the connection. It returns its address.
-func rawPeer(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
+)
 
 // A copy of the metadata or a list of changes that is not complete must not be taken for one, nor the answer of another program that now has
 // the address of an instance: state that is empty would be installed, or stale state be confirmed as of now.
@@ -60,7 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			full := fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body)
-			if err := call.get(rawPeer(t, full)); err != nil {
+			if err := call.get(rawhttp.Serve(t, rawhttp.Always(full))); err != nil {
 				t.Fatalf("complete answer: %v", err)
 			}
 			half := call.body[:len(call.body)/2]
@@ -72,7 +45,7 @@
 				"closed before":           "HTTP/1.1 200 OK\r\n\r\n",
 				"no content":              "HTTP/1.1 204 S\r\n\r\n",
 				"partial content":         fmt.Sprintf("HTTP/1.1 206 S\r\nContent-Length: %d\r\n\r\n%s", len(call.body), call.body),
-				"redirect":                "HTTP/1.1 302 S\r\nLocation: http://" + rawPeer(t, full) + "/\r\nContent-Length: 0\r\n\r\n",
+				"redirect":                "HTTP/1.1 302 S\r\nLocation: http://" + rawhttp.Serve(t, rawhttp.Always(full)) + "/\r\nContent-Length: 0\r\n\r\n",
 				"null":                    "HTTP/1.1 200 OK\r\n\r\nnull",
 				"empty object":            "HTTP/1.1 200 OK\r\n\r\n{}",
 				"another object":          "HTTP/1.1 200 OK\r\n\r\n{\"status\":\"ok\"}",
@@ -81,7 +54,7 @@
 				"two values":              "HTTP/1.1 200 OK\r\n\r\n" + call.body + call.body,
 				"trailing bytes":          "HTTP/1.1 200 OK\r\n\r\n" + call.body + "]",
 			} {
-				if err := call.get(rawPeer(t, raw)); err == nil {
+				if err := call.get(rawhttp.Serve(t, rawhttp.Always(raw))); err == nil {
 					t.Errorf("%s: taken for an answer", fault)
 				}
 			}
--- a/internal/platform/rpc/ends_test.go
+++ b/internal/platform/rpc/ends_test.go
@@ -1,43 +1,16 @@
 package rpc
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
 )
 
-// rawAnswer starts a server that answers each request with the same bytes and closes the connection. It returns its URL.
-func rawAnswer(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // A list of instances that is cut must not be taken for the whole list: the instances behind the cut would look gone. The wire format has no
 // length of its own, so a cut between two entries leaves a valid message.
 func TestCutListFails(t *testing.T) {
@@ -67,7 +40,7 @@
 		"partial content":             {fmt.Sprintf("HTTP/1.1 206 S\r\nContent-Type: application/proto\r\nContent-Length: %d\r\n\r\n%s", len(cut), cut), false},
 		"page":                        {"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi", false},
 	} {
-		client := NewClient(&http.Client{Transport: &http.Transport{}}, rawAnswer(t, c.answer))
+		client := NewClient(&http.Client{Transport: &http.Transport{}}, "http://"+rawhttp.Serve(t, rawhttp.Always(c.answer)))
 		list, _, err := client.List(t.Context())
 		if (err == nil) != c.complete {
 			t.Errorf("%s: %d instances, %v", name, len(list), err)
--- a/internal/targetconn/ends_test.go
+++ b/internal/targetconn/ends_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
 )
 
 // A response that ends before its length or its last chunk must not be read as complete, and its connection must not be used again: the next
@@ -35,7 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			received := make(chan struct{})
-			address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			address := rawhttp.ServeConns(t, func(conn net.Conn, r *bufio.Reader) {
 				if _, err := http.ReadRequest(r); err != nil {
 					return
 				}
@@ -94,7 +95,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			conns := make(chan struct{}, 10)
-			address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			address := rawhttp.ServeConns(t, func(conn net.Conn, r *bufio.Reader) {
 				conns <- struct{}{}
 				if _, err := http.ReadRequest(r); err != nil {
 					return
@@ -121,16 +122,8 @@
 
 // A body in a response to HEAD is not read, so its bytes must not be taken for the next response.
 func TestBodyOfHeadResponseIsNotTheNextResponse(t *testing.T) {
-	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n%s", req.Method); err != nil {
-				return
-			}
-		}
+	address := rawhttp.ServeKeepAlive(t, func(r *http.Request, _ int) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + r.Method
 	})
 	p := NewPool(address, 1, nil)
 	head := &Request{Method: http.MethodHead, URI: "/", Host: "h", Header: http.Header{}}
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -9,30 +9,9 @@
 	"net/http"
 	"strings"
 	"testing"
-)
 
-// serve listens on a local port, runs handle on each connection, and returns the address.
-func serve(t *testing.T, handle func(conn net.Conn, r *bufio.Reader)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn, bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
+)
 
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -62,7 +41,7 @@
 // Guards against opening a new connection for each request.
 func TestConnectionReuse(t *testing.T) {
 	conns := make(chan struct{}, 10)
-	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+	address := rawhttp.ServeConns(t, func(conn net.Conn, r *bufio.Reader) {
 		conns <- struct{}{}
 		for {
 			if _, err := http.ReadRequest(r); err != nil {
@@ -86,7 +65,7 @@
 
 // Guards against more connections to a target than the limit of the pool.
 func TestConnectionLimit(t *testing.T) {
-	address := serve(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	address := rawhttp.ServeConns(t, func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
 	p := NewPool(address, 1, nil)
 	if _, err := p.Get(t.Context()); err != nil {
 		t.Fatal(err)
@@ -100,7 +79,7 @@
 // bytes of the next request for the rest of the body.
 func TestEarlyResponseClosesConnection(t *testing.T) {
 	conns := make(chan struct{}, 10)
-	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+	address := rawhttp.ServeConns(t, func(conn net.Conn, r *bufio.Reader) {
 		conns <- struct{}{}
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -129,11 +108,7 @@
 
 // Guards against treating a truncated response body as complete.
 func TestTruncatedBodyFails(t *testing.T) {
-	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
-		if _, err := http.ReadRequest(r); err == nil {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf")
-		}
-	})
+	address := rawhttp.Serve(t, rawhttp.Always("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"))
 	conn, err := NewPool(address, 1, nil).Get(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -152,7 +127,7 @@
 // cause of the cancellation.
 func TestCancelClosesConnection(t *testing.T) {
 	received, closed := make(chan struct{}), make(chan struct{})
-	address := serve(t, func(_ net.Conn, r *bufio.Reader) {
+	address := rawhttp.ServeConns(t, func(_ net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
@@ -176,16 +151,7 @@
 // A connection that is put back unused stays idle from the target's point of view. If PutBack restarted the idle time, the connection
 // could be reused after the target's idle timeout.
 func TestPutBackKeepsIdleSince(t *testing.T) {
-	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
-		for {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			if _, err := io.WriteString(conn, okResponse); err != nil {
-				return
-			}
-		}
-	})
+	address := rawhttp.ServeKeepAlive(t, func(*http.Request, int) string { return okResponse })
 	p := NewPool(address, 1, nil)
 	exchange(t, p, get("/"))
 	c, err := p.Get(t.Context())
