gateway: log and count targets that are left on old weights

The logs could not tell why a target that is behind has not been ordered to load: which version it has, until when that may serve, since when it is out of rotation and what it waits for; nor when an instance first saw a version. New lines: weight version released, weights of a target expired, weight roll-out. target appeared has the weights. New gauges: targets_on_old_weights, targets_on_expired_weights.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -78,7 +78,8 @@
 	retirements    []publishedRetirement        // oldest first; the first is the latest one that has reached all instances
 	publishedAt    time.Time
 	loaded         []loadedVersion
-	lastFreed      time.Time // when the stores were last scanned for parts to free
+	lastFreed      time.Time                     // when the stores were last scanned for parts to free
+	logged         map[string][]rollout.Progress // last logged progress, by service and model
 }
 
 // NewRolloutController returns a controller that does nothing until Run is called.
@@ -106,7 +107,7 @@
 func (c *RolloutController) reset() {
 	c.plans, c.targetReports, c.missedReports = map[string]*rollout.Plan{}, map[string]TargetReport{}, map[string]*reportFailures{}
 	c.inbox, c.reportsPending, c.newResults = newReportInbox(), map[string]bool{}, map[string]reportResult{}
-	c.loadableAt, c.loaded, c.lastFreed = map[string]time.Time{}, nil, time.Time{}
+	c.loadableAt, c.loaded, c.lastFreed, c.logged = map[string]time.Time{}, nil, time.Time{}, map[string][]rollout.Progress{}
 	c.retired, c.retirements = c.opts.State.publishedRetirement(), nil
 	c.recordRetirement(time.Now())
 }
@@ -138,6 +139,7 @@
 		observed := c.observe(ctx, g)
 		step := c.plans[key].Next(observed, g.newestVersion, now)
 		outOfService = append(outOfService, step.OutOfService...)
+		c.logProgress(g, step, now)
 		if !now.Before(c.nextPublishTime()) && (len(step.OutOfService) > 0 || now.Sub(c.lastFreed) >= freePeriod) {
 			c.retire(g, observed, step.OutOfService)
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -100,16 +100,17 @@
 
 // State follows the metadata store and keeps the current view. It is safe for concurrent use.
 type State struct {
-	opts         StateOptions
-	current      atomic.Pointer[view]
-	notices      notices
-	limits       *limitRegistry
-	grantService *grantService
-	quarantine   *quarantineService
-	streams      *streamService
-	shares       *shareService                         // nil if shares are off
-	rollouts     *rolloutService                       // nil: operators order none
-	grantorList  atomic.Pointer[[]targetlimit.Grantor] // instances that may issue grants, nil before the first OnChange
+	opts           StateOptions
+	current        atomic.Pointer[view]
+	notices        notices
+	limits         *limitRegistry
+	weightsMetrics weightsMetrics
+	grantService   *grantService
+	quarantine     *quarantineService
+	streams        *streamService
+	shares         *shareService                         // nil if shares are off
+	rollouts       *rolloutService                       // nil: operators order none
+	grantorList    atomic.Pointer[[]targetlimit.Grantor] // instances that may issue grants, nil before the first OnChange
 
 	mu               sync.Mutex // guards the rest
 	snapshot         *roster.Snapshot
@@ -136,7 +137,7 @@
 // NewState returns a state without a view; the first call of OnChange creates it.
 func NewState(o StateOptions) *State {
 	s := &State{
-		opts: o, notices: newNotices(o.Metrics), limits: newLimitRegistry(), roster: roster.New(o.Roster), versionHistory: roster.NewWeightVersions(o.RolloutTimeout - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
+		opts: o, notices: newNotices(o.Metrics), limits: newLimitRegistry(), weightsMetrics: newWeightsMetrics(o.Metrics), roster: roster.New(o.Roster), versionHistory: roster.NewWeightVersions(o.RolloutTimeout - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
 		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, forecasts: map[string]*forecast.Service{}, grantStats: map[string]*targetlimit.GrantStats{}, recordedVersions: map[string]bool{},
 		software: newSoftwareState(),
 	}
@@ -212,6 +213,7 @@
 		t.probes.Prune(now)
 	}
 	s.reportNotices(now)
+	s.reportWeights(now)
 }
 
 // readSystemKeys reads the keys that the instances themselves write: instance records, weight versions, the rollout state, the
@@ -281,7 +283,7 @@
 		klog.ErrorS(err, "invalid record of a weight version ignored", "key", key)
 		return
 	}
-	s.versionHistory.Observe(observed.Model, observed.Version, observed.Age(now), now)
+	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true, now)
 }
 
 // unrecordedVersions returns the known weight versions whose first sighting no instance has recorded yet.
@@ -313,8 +315,9 @@
 type engineGroup struct {
 	service, model string
 	newestVersion  int
-	targets        map[string]*target // by ID
-	born           map[string]int64   // start of each target's process in Unix milliseconds, by ID
+	targets        map[string]*target   // by ID
+	born           map[string]int64     // start of each target's process in Unix milliseconds, by ID
+	expiry         map[string]time.Time // when the weights of a target expire, by ID; absent if they do not
 }
 
 // engineGroups returns the groups for which a weight version was released, without leaving targets, sorted by service and model.
@@ -330,13 +333,16 @@
 			continue
 		}
 		for _, model := range decl.Engine.Models {
-			g := engineGroup{service: decl.Name, model: model, newestVersion: s.snapshot.Weights[model], targets: map[string]*target{}, born: map[string]int64{}}
+			g := engineGroup{service: decl.Name, model: model, newestVersion: s.snapshot.Weights[model], targets: map[string]*target{}, born: map[string]int64{}, expiry: map[string]time.Time{}}
 			if g.newestVersion == 0 {
 				continue
 			}
 			for id, t := range s.targets {
 				if t.record.Service == decl.Name && !t.record.Leaving && !t.stats.Leaving() {
 					g.targets[id], g.born[id] = t, t.born
+					if at := s.versionHistory.Expiry(model, t.version(model)); !at.IsZero() {
+						g.expiry[id] = at
+					}
 				}
 			}
 			groups = append(groups, g)
@@ -404,7 +410,7 @@
 		s.budgetInstances, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
 	for model, version := range v.weights {
-		s.versionHistory.Observe(model, version, 0, now)
+		s.observeVersion(model, version, 0, false, now)
 	}
 	v.versionHistory, v.retired = s.versionHistory.Clone(), s.retired
 	v.links = s.storeLinks(v.catalog)
@@ -452,7 +458,7 @@
 			}
 			s.targets[t.ID] = newTarget(t, s.connectionLimit(t.Service), s.opts.Dial, s.limits)
 			s.restoreNotices(s.targets[t.ID])
-			klog.InfoS("target appeared", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain, "software", t.Software, "cold", time.Until(t.ColdUntil),
+			klog.InfoS("target appeared", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain, "software", t.Software, "weights", t.Weights, "cold", time.Until(t.ColdUntil),
 				"metadata", s.metadataRevision)
 			continue
 		}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -67,10 +67,36 @@
 	return &Plan{opts: o, outOfService: map[string]*progress{}}
 }
 
+// Status says why a target that is out of service has not loaded yet.
+type Status uint8
+
+// Statuses.
+const (
+	Waiting      Status = iota // idle, until fewer targets load
+	Draining                   // finishes its requests
+	Ordered                    // has the order to load and still finishes its requests
+	Loading                    // carries out an order, or its report is missing or pending
+	Unresponsive               // does not answer
+)
+
+var statusNames = [...]string{"waiting", "draining", "ordered", "loading", "unresponsive"}
+
+func (s Status) String() string { return statusNames[s] }
+
+// Progress is the progress of a target that is out of service.
+type Progress struct {
+	ID       string
+	Version  int
+	Status   Status
+	OutSince time.Time // when it was taken out of service
+}
+
 // Step is the next action.
 type Step struct {
-	OutOfService []string // IDs of all targets that must get no new requests, sorted
-	Load         []string // IDs of the targets to send the order to load to
+	OutOfService []string   // IDs of all targets that must get no new requests, sorted
+	Load         []string   // IDs of the targets to send the order to load to
+	Progress     []Progress // of the targets that are out of service, before the orders of this step, ordered by ID
+	Behind       int        // number of targets on older weights
 }
 
 // Next returns the next step towards the newest version. The caller must call LoadOrdered for each order that it has
@@ -101,7 +127,9 @@
 		}
 	}
 	p.takeOut(old, maxLoads+maxDraining+min(unresponsive, maxDraining), now)
-	return p.nextStep(byID, maxLoads, now)
+	s := p.nextStep(byID, maxLoads, now)
+	s.Behind = len(old)
+	return s
 }
 
 // takeOut takes further targets out of service until maxOut are: first busy ones, since they are loading already, then
@@ -160,9 +188,31 @@
 			loads++
 		}
 	}
+	s.Progress = p.report(byID, s.OutOfService)
 	return s
 }
 
+// report returns the progress of the targets that are out of service, given by their sorted IDs.
+func (p *Plan) report(byID map[string]*Target, ids []string) []Progress {
+	out := make([]Progress, 0, len(ids))
+	for _, id := range ids {
+		pr, t := p.outOfService[id], byID[id]
+		status := Waiting
+		switch {
+		case t.Unresponsive:
+			status = Unresponsive
+		case t.Busy:
+			status = Loading
+		case pr.phase == loading:
+			status = Ordered
+		case !t.Idle:
+			status = Draining
+		}
+		out = append(out, Progress{ID: id, Version: t.Version, Status: status, OutSince: pr.outSince})
+	}
+	return out
+}
+
 // LoadOrdered records that the order to load was sent to a target.
 func (p *Plan) LoadOrdered(id string, now time.Time) {
 	if pr := p.outOfService[id]; pr != nil {
--- a/internal/roster/weights.go
+++ b/internal/roster/weights.go
@@ -24,19 +24,20 @@
 	return &WeightVersions{rolloutTimeout: rolloutTimeout, versions: map[string][]observedVersion{}}
 }
 
-// Observe records that a version of a model was first seen at least age ago.
-func (w *WeightVersions) Observe(model string, version int, age time.Duration, now time.Time) {
+// Observe records that a version of a model was first seen at least age ago. It reports whether the version was unknown.
+func (w *WeightVersions) Observe(model string, version int, age time.Duration, now time.Time) bool {
 	firstSeen := now.Add(-age)
 	list := w.versions[model]
 	for i := range list {
 		if list[i].version == version {
 			list[i].firstSeen = minTime(list[i].firstSeen, firstSeen)
-			return
+			return false
 		}
 	}
 	list = append(list, observedVersion{version: version, firstSeen: firstSeen})
 	slices.SortFunc(list, func(a, b observedVersion) int { return cmp.Compare(a.version, b.version) })
 	w.versions[model] = list
+	return true
 }
 
 func minTime(a, b time.Time) time.Time {
