rollout: failing tests of a roll-out that is slower than its weights last

The number of loads at a time is a sixth of the present targets, whatever time is left: without any fault, fleets of 8 to 11, 15 to 17, 22, 23 and 29 targets take longer than the time limit of old weights, and targets beyond it wait one by one.

--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -73,7 +73,7 @@
 	c.requestReports(ctx, g, now)
 	var list []rollout.Target
 	for id, t := range g.targets {
-		rt := rollout.Target{ID: id, Version: t.version(g.model)}
+		rt := rollout.Target{ID: id, Version: t.version(g.model), Expiry: g.expiry[id]}
 		if result, ok := c.newResults[id]; ok {
 			delete(c.newResults, id)
 			c.applyReport(&rt, g, result, now)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -31,10 +31,11 @@
 // Target is the state of a target as known to the sender of the orders.
 type Target struct {
 	ID           string
-	Version      int  // weight version that it serves
-	Idle         bool // known to have no request in flight
-	Busy         bool // carrying out an order, or unable to take one now
-	Unresponsive bool // does not answer; only known of targets that are out of service
+	Version      int       // weight version that it serves
+	Expiry       time.Time // when it gets no more requests because of its version; zero if never
+	Idle         bool      // known to have no request in flight
+	Busy         bool      // carrying out an order, or unable to take one now
+	Unresponsive bool      // does not answer; only known of targets that are out of service
 }
 
 // phase is the progress of a target that is out of service.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -152,3 +152,35 @@
 		}
 	}
 }
+
+// Guards against a roll-out that is slower than the weights of its targets last, so that targets are without requests until they
+// load: the number of loads at a time must follow from the time that is left, whatever the number of targets.
+func TestRolloutEndsBeforeWeightsExpire(t *testing.T) {
+	const timeLeft, drain, load = 13 * time.Second, time.Second, 1800 * time.Millisecond
+	for n := 1; n <= 36; n++ {
+		list := newTargets(n, 1)
+		for i := range list {
+			list[i].Expiry = epoch.Add(timeLeft)
+		}
+		if took, _, _ := simulate(t, list, 2, drain, load); took > timeLeft {
+			t.Errorf("%d targets: took %v, their weights last for %v", n, took, timeLeft)
+		}
+	}
+}
+
+// Guards against targets that wait to load although they serve nothing: a rollout leader that was without power finds most targets
+// beyond the time limit of their weights.
+func TestExpiredTargetsAreLoadedSooner(t *testing.T) {
+	const load = 1800 * time.Millisecond
+	list := newTargets(10, 1)
+	for i := range list {
+		list[i].Expiry = epoch.Add(-time.Second)
+	}
+	took, _, loading := simulate(t, list, 2, 0, load)
+	if maxDuration := 4*load + time.Second; took > maxDuration {
+		t.Errorf("took %v, want four rounds of loads, %v, at most", took, maxDuration)
+	}
+	if loading > 4 {
+		t.Errorf("%d of 10 targets loaded at once, want a third at most", loading)
+	}
+}
