rollout: the number of loads at a time follows from the time until weights expire

Cause: a sixth of the present targets loaded at once, rounded down, whatever time was left. With 8 to 11 targets that is one, and a roll-out takes 15 to 20 s even undisturbed; their weights last for 13 s. Each outage of the rollout leader adds to that, and those beyond their limit, which serve nothing, waited like the others.

Change: a plan computes from the expiry of each old target, the time that a load has taken and the loads under way how many must load at once, between a sixth and a third of the targets. More targets than a sixth drain if their weights have expired.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -1,10 +1,11 @@
 // Package rollout decides which targets of a service load a new weight version next. It takes a few targets out of
-// service at a time: some of them load while others finish their requests, and all remaining targets serve. It has no
-// I/O and no clock.
+// service at a time: some of them load while others finish their requests, and all remaining targets serve. How many
+// load at once follows from the time until the weights of the others expire. It has no I/O and no clock.
 package rollout
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,8 +13,10 @@
 
 // Options configures a Plan. Zero fields take the defaults.
 type Options struct {
-	LoadShare     float64       // fraction of the targets that load at once
+	LoadShare     float64       // fraction of the targets that load at once while there is time
+	MaxLoadShare  float64       // fraction of the targets that load at once at most
 	DrainShare    float64       // fraction of the targets that finish their requests meanwhile
+	LoadTime      time.Duration // expected time from the order to load to its end, until the first one is observed
 	MaxDrain      time.Duration // time after which a target gets the order to load although requests run; it finishes them first
 	RetryInterval time.Duration // time between two orders to a target that does not load
 }
@@ -22,8 +25,11 @@
 const (
 	// defaultLoadShare lets one sixth of the targets load, so five sixths are left to serve or drain. The weight store
 	// serves about that many concurrent loads before each takes longer.
-	defaultLoadShare     = 1.0 / 6
+	defaultLoadShare = 1.0 / 6
+	// defaultMaxLoadShare leaves half of the targets to serve, with those that drain.
+	defaultMaxLoadShare  = 1.0 / 3
 	defaultDrainShare    = 1.0 / 6
+	defaultLoadTime      = 2 * time.Second
 	defaultMaxDrain      = 1500 * time.Millisecond
 	defaultRetryInterval = 2 * time.Second
 )
@@ -51,18 +57,24 @@
 	phase     phase
 	outSince  time.Time // when it was taken out of service
 	orderedAt time.Time // when the last order to load was sent
+	idle      bool      // had no request in flight when last seen
+	loadSince time.Time // when it was ordered to load and had no requests; zero before that
+	observed  bool      // seen to load after an order of this plan
 }
 
 // Plan is the roll-out of one model. It is not safe for concurrent use.
 type Plan struct {
 	opts         Options
 	outOfService map[string]*progress // by ID
+	loadTime     time.Duration        // time that a target takes to load; zero if none was observed
 }
 
 // New returns a plan without targets.
 func New(o Options) *Plan {
 	o.LoadShare = cmp.Or(o.LoadShare, defaultLoadShare)
+	o.MaxLoadShare = cmp.Or(o.MaxLoadShare, defaultMaxLoadShare)
 	o.DrainShare = cmp.Or(o.DrainShare, defaultDrainShare)
+	o.LoadTime = cmp.Or(o.LoadTime, defaultLoadTime)
 	o.MaxDrain = cmp.Or(o.MaxDrain, defaultMaxDrain)
 	o.RetryInterval = cmp.Or(o.RetryInterval, defaultRetryInterval)
 	return &Plan{opts: o, outOfService: map[string]*progress{}}
@@ -112,13 +124,20 @@
 			old = append(old, t)
 		}
 	}
-	for id := range p.outOfService {
-		if t := byID[id]; t == nil || t.Version >= newest {
+	for id, pr := range p.outOfService {
+		t := byID[id]
+		if t != nil && t.Version >= newest {
+			p.observeLoad(pr, now)
+		}
+		if t == nil || t.Version >= newest {
 			delete(p.outOfService, id)
 		}
 	}
-	maxLoads := max(int(float64(len(targets))*p.opts.LoadShare), 1)
+	maxLoads := p.maxLoads(old, len(targets), now)
 	maxDraining := int(math.Ceil(float64(len(targets)) * p.opts.DrainShare))
+	if expired := countExpired(old, now); expired > maxDraining {
+		maxDraining = min(expired, max(maxDraining, maxLoads)) // they serve nothing
+	}
 	// Unresponsive targets free their places for others. Only maxDraining places are freed, because all targets may be
 	// unresponsive to the sender of the orders alone.
 	unresponsive := 0
@@ -133,6 +152,70 @@
 	return s
 }
 
+// countExpired returns the number of targets whose weights have expired.
+func countExpired(targets []*Target, now time.Time) int {
+	n := 0
+	for _, t := range targets {
+		if !t.Expiry.IsZero() && !now.Before(t.Expiry) {
+			n++
+		}
+	}
+	return n
+}
+
+// observeLoad records how long a load that has ended took, if its beginning is known. Shorter times than before count at once and longer
+// ones little: a load that others have slowed down must not lead to still more at once.
+func (p *Plan) observeLoad(pr *progress, now time.Time) {
+	if !pr.observed {
+		return
+	}
+	took := now.Sub(pr.loadSince)
+	if p.loadTime == 0 || took < p.loadTime {
+		p.loadTime = took
+		return
+	}
+	p.loadTime += (took - p.loadTime) / 8
+}
+
+// maxLoads returns how many of all targets may load at once: enough that each of the old ones has loaded before its weights expire, but
+// not less than LoadShare and, if there are several, not more than MaxLoadShare. Targets whose weights have expired serve nothing while they
+// wait, so they are loaded as fast as MaxLoadShare allows.
+func (p *Plan) maxLoads(old []*Target, all int, now time.Time) int {
+	least := max(int(float64(all)*p.opts.LoadShare), 1)
+	most := max(int(math.Ceil(float64(all)*p.opts.MaxLoadShare)), least)
+	loadTime := cmp.Or(p.loadTime, p.opts.LoadTime)
+	var ends []time.Duration       // time until each load that is under way ends
+	waiting := map[time.Time]int{} // targets that still have to load, by their expiry
+	start := p.opts.MaxDrain       // time until the next load can begin
+	for _, t := range old {
+		pr := p.outOfService[t.ID]
+		if pr != nil {
+			start = 0
+		}
+		switch {
+		case pr != nil && !pr.loadSince.IsZero():
+			ends = append(ends, max(loadTime-now.Sub(pr.loadSince), 0))
+		case !t.Expiry.IsZero():
+			waiting[t.Expiry]++
+		}
+	}
+	needed, earlier := 0, 0
+	for _, expiry := range slices.SortedFunc(maps.Keys(waiting), time.Time.Compare) {
+		earlier += waiting[expiry]
+		left := expiry.Sub(now) - start
+		inUse := 0 // loads that can follow those under way in time
+		for _, end := range ends {
+			inUse += int(max(left-end, 0) / loadTime)
+		}
+		more := max(earlier-inUse, 0)
+		if rounds := int(max(left, 0) / loadTime); rounds > 1 {
+			more = (more + rounds - 1) / rounds
+		}
+		needed = max(needed, len(ends)+more)
+	}
+	return min(max(needed, least), most)
+}
+
 // takeOut takes further targets out of service until maxOut are: first busy ones, since they are loading already, then
 // those on the oldest weights, whose time limit ends first.
 func (p *Plan) takeOut(old []*Target, maxOut int, now time.Time) {
@@ -168,6 +251,10 @@
 		t := byID[id]
 		if t.Busy {
 			pr.phase = loading
+			pr.observed = !pr.orderedAt.IsZero()
+		}
+		if pr.idle = t.Idle; pr.phase == loading && t.Idle && pr.loadSince.IsZero() {
+			pr.loadSince = now
 		}
 		// A target that was ordered to load and still has requests in flight does not use the weight store yet.
 		if pr.phase == loading && t.Idle {
@@ -218,5 +305,8 @@
 func (p *Plan) LoadOrdered(id string, now time.Time) {
 	if pr := p.outOfService[id]; pr != nil {
 		pr.phase, pr.orderedAt = loading, now
+		if pr.idle && pr.loadSince.IsZero() {
+			pr.loadSince = now
+		}
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -184,3 +184,20 @@
 		t.Errorf("%d of 10 targets loaded at once, want a third at most", loading)
 	}
 }
+
+// Guards against a load time that is taken from loads of which this plan has not seen the beginning: a leader that takes over finds
+// targets at the end of their loads, and would plan for far too few at once.
+func TestLoadsOfAnEarlierLeaderDoNotCountAsShort(t *testing.T) {
+	list := newTargets(10, 1)
+	for i := range list {
+		list[i].Expiry = epoch.Add(13 * time.Second)
+	}
+	p := New(Options{})
+	list[0].Busy = true
+	p.Next(list, 2, epoch)
+	list[0].Busy, list[0].Version = false, 2
+	p.Next(list, 2, epoch.Add(100*time.Millisecond))
+	if s := p.Next(list, 2, epoch.Add(2*time.Second)); len(s.Load) < 2 {
+		t.Errorf("%d orders after a load that ended within 100 ms, want at least 2: nine targets have 11 s", len(s.Load))
+	}
+}
