--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -23,6 +23,7 @@
 type VersionRecorder struct {
 	State *State
 	Store metastore.Store
+	Lock  *metastore.Lock // of the rollout leader
 }
 
 // Run records weight versions until ctx ends, and returns the context's error.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -73,6 +73,8 @@
 	// MetadataAge returns the time since the items were last confirmed by the metadata store, false if they never were. If it is
 	// nil, the age is unknown.
 	MetadataAge func() (time.Duration, bool)
+	// Suspended returns the total time for which the machine was suspended since the process started. If it is nil, it never was.
+	Suspended func() time.Duration
 	// WaitFresh waits until the items are fresh enough to send requests, or as fresh as they can get. If it is nil, they always
 	// are.
 	WaitFresh      func(ctx context.Context)
