gateway: the time limit of old weights counts suspensions of the machine

What callers saw: answers on weights whose time limit had passed, after a machine had been suspended.

Cause: the time since a version was first seen was measured by Go's monotonic clock, which excludes suspensions. The lease of the lock and the age of the metadata count them (bootclock); this limit did not.

Evidence: TestVersionReleasedBeforeSuspension failed before.

Change: versionHistory is read and written by a time that includes suspensions; the record of a first sighting in the store is by the wall clock as before.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -108,6 +108,7 @@
 		RecoveredAt:    func() time.Time { return p.mirror.RecoveredAt() },
 		MetadataAge:    func() (time.Duration, bool) { return p.mirror.Age() },
 		WaitFresh:      p.waitFresh,
+		Suspended:      bootclock.NewSuspension().Total,
 		ColdRateFactor: s.ColdRateFactor, ColdRateSlack: s.ColdRateSlack,
 		RetryRatio: s.RetryRatio, RetryFloor: s.RetryFloor, RetryWindow: s.RetryWindow, InitialPrefillRate: initialPrefillRate,
 		RolloutTimeout: s.WeightsDeadline, LastResortTime: s.DrainTimeout - sendMargin, Metrics: scope,
--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -18,3 +18,15 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Suspension measures for how long the machine was suspended.
+type Suspension struct {
+	boot  time.Duration
+	start time.Time
+}
+
+// NewSuspension starts to measure.
+func NewSuspension() *Suspension { return &Suspension{boot: Now(), start: time.Now()} }
+
+// Total returns the total time of suspensions since NewSuspension.
+func (s *Suspension) Total() time.Duration { return max(Now()-s.boot-time.Since(s.start), 0) }
--- a/internal/gateway/expiry.go
+++ b/internal/gateway/expiry.go
@@ -35,9 +35,10 @@
 
 // nextExpiryCheck returns the time after which to check the expiry of a weight version again, zero if it has expired.
 func (rq *request) nextExpiryCheck(version int) time.Duration {
-	expiry := rq.gateway.opts.State.current.Load().versionHistory.Expiry(rq.call.Model, version)
+	state := rq.gateway.opts.State
+	expiry := state.current.Load().versionHistory.Expiry(rq.call.Model, version)
 	if expiry.IsZero() {
 		return expiryCheckPeriod
 	}
-	return min(max(time.Until(expiry)+weightsMargin/2, 0), expiryCheckPeriod)
+	return min(max(expiry.Sub(state.versionTime())+weightsMargin/2, 0), expiryCheckPeriod)
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -40,6 +40,7 @@
 	services         map[string]*service
 	weights          map[string]int               // newest weight version by model
 	versionHistory   *roster.WeightVersions       // first sightings and expiries of weight versions
+	versionTime      time.Time                    // when the view was built, as versionHistory counts time
 	retired          map[string]retirement.Shares // cached parts that are no longer fetched or saved, by model
 	instances        int                          // live instances, at least one
 	registered       bool                         // this instance is among them
@@ -215,7 +216,7 @@
 		t.probes.Prune(now)
 	}
 	s.reportNotices(now)
-	s.reportWeights(now)
+	s.reportWeights()
 }
 
 // readSystemKeys reads the keys that the instances themselves write: instance records, weight versions, the rollout state, the
@@ -285,16 +286,20 @@
 		klog.ErrorS(err, "invalid record of a weight version ignored", "key", key)
 		return
 	}
-	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true, now)
+	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true)
 }
 
 // unrecordedVersions returns the known weight versions whose first sighting no instance has recorded yet.
 func (s *State) unrecordedVersions() []roster.ObservedVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(s.versionHistory.All(), func(observed roster.ObservedVersion) bool {
+	all := slices.DeleteFunc(s.versionHistory.All(), func(observed roster.ObservedVersion) bool {
 		return s.recordedVersions[versionKey(observed.Model, observed.Version)]
 	})
+	for i := range all {
+		all[i].FirstSeenMillis -= s.suspended().Milliseconds() // the wall clock counts suspensions, so versionTime counts them twice
+	}
+	return all
 }
 
 // RolloutLockFree reports whether no instance holds the rollout lock. It returns false while no configuration is known.
@@ -343,7 +348,7 @@
 				if t.record.Service == decl.Name && !t.record.Leaving && !t.stats.Leaving() {
 					g.targets[id], g.born[id] = t, t.born
 					if at := s.versionHistory.Expiry(model, t.version(model)); !at.IsZero() {
-						g.expiry[id] = at
+						g.expiry[id] = at.Add(-s.suspended())
 					}
 				}
 			}
@@ -412,9 +417,9 @@
 		s.budgetInstances, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
 	for model, version := range v.weights {
-		s.observeVersion(model, version, 0, false, now)
+		s.observeVersion(model, version, 0, false)
 	}
-	v.versionHistory, v.retired = s.versionHistory.Clone(), s.retired
+	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(), s.retired
 	v.links = s.storeLinks(v.catalog)
 	hashes := s.instanceHashes()
 	s.software.update(v.catalog, s.softwareVersions(), now)
@@ -556,7 +561,7 @@
 				c.Penalty = oldWeightsPenalty
 				s.timeDependent = true // later its version expires, or its answers show that it has loaded the newest
 			}
-			c.Disabled = c.Disabled || t.version(model) < s.versionHistory.MinVersion(model, now)
+			c.Disabled = c.Disabled || t.version(model) < s.versionHistory.MinVersion(model, v.versionTime)
 		}
 	}
 	if limiter := s.coldLimiter(t, decl, hashes, now); limiter != nil {
