--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -216,7 +216,7 @@
 		t.probes.Prune(now)
 	}
 	s.reportNotices(now)
-	s.reportWeights()
+	s.reportWeights(now)
 }
 
 // readSystemKeys reads the keys that the instances themselves write: instance records, weight versions, the rollout state, the
@@ -286,7 +286,7 @@
 		klog.ErrorS(err, "invalid record of a weight version ignored", "key", key)
 		return
 	}
-	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true)
+	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true, now)
 }
 
 // unrecordedVersions returns the known weight versions whose first sighting no instance has recorded yet.
@@ -417,9 +417,9 @@
 		s.budgetInstances, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
 	for model, version := range v.weights {
-		s.observeVersion(model, version, 0, false)
+		s.observeVersion(model, version, 0, false, now)
 	}
-	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(), s.retired
+	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(now), s.retired
 	v.links = s.storeLinks(v.catalog)
 	hashes := s.instanceHashes()
 	s.software.update(v.catalog, s.softwareVersions(), now)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -24,9 +24,9 @@
 	return weightsMetrics{old: m.Gauge("targets_on_old_weights"), expired: m.Gauge("targets_on_expired_weights")}
 }
 
-// versionTime returns the present time as versionHistory counts it: with the time for which the machine was suspended, which Go's monotonic
-// clock excludes.
-func (s *State) versionTime() time.Time { return time.Now().Add(s.suspended()) }
+// versionTime converts a time to that of versionHistory. It includes the time for which the machine was suspended, which Go's monotonic clock
+// excludes.
+func (s *State) versionTime(now time.Time) time.Time { return now.Add(s.suspended()) }
 
 // suspended returns the total time for which the machine was suspended since the process started.
 func (s *State) suspended() time.Duration {
@@ -38,18 +38,17 @@
 
 // observeVersion records that a weight version was first seen at least age ago. recorded is set if another instance has recorded that in
 // the metadata store. s.mu must be held.
-func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool) {
-	if s.versionHistory.Observe(model, version, age, s.versionTime()) {
+func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
+	if s.versionHistory.Observe(model, version, age, s.versionTime(now)) {
 		klog.InfoS("weight version released", "model", model, "version", version, "age_ms", age.Milliseconds(), "recorded", recorded, "metadata", s.metadataRevision)
 	}
 }
 
 // reportWeights updates the gauges of targets on old weights, and logs targets whose weights have just expired. s.mu must be held.
-func (s *State) reportWeights() {
+func (s *State) reportWeights(now time.Time) {
 	if s.snapshot == nil || s.snapshot.Catalog == nil {
 		return
 	}
-	var now time.Time
 	old, expired := 0, 0
 	for _, t := range s.targets {
 		decl := s.snapshot.Catalog.Services[t.record.Service]
@@ -62,7 +61,7 @@
 				continue
 			}
 			if old++; old == 1 {
-				now = s.versionTime()
+				now = s.versionTime(now)
 			}
 			if version >= s.versionHistory.MinVersion(model, now) {
 				continue
