gateway: a version released while nobody looks counts from when there was none

Cause: the time limit of old weights started when an instance first saw the newer version. If all instances were without power, or stood still, when it was released, that is late by as long as they were away. Class: a limit that counts from the own first sight of an event in place of the event.

Change: an instance knows since when changes may have gone unseen: from its last tick before a standstill, or, at its start, from the time up to which the rollout leader has recorded every 4 s that all released versions are recorded. A version that it is the first to see counts as released then. After the next confirmed reading versions count from their sighting again (TestVersionReleasedAfterStandstill).

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -165,7 +165,7 @@
 	lock := &metastore.Lock{Store: p.store, Key: gateway.RolloutLockKey, Owner: p.settings.Name, TTL: p.settings.LeaseTTL, IsFree: p.state.RolloutLockFree}
 	p.group.add(lock.Run)
 	rollout := gateway.NewRolloutController(gateway.RolloutOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Cache: p.cacheTracker})
-	p.group.add((&gateway.VersionRecorder{State: p.state, Store: p.store}).Run)
+	p.group.add((&gateway.VersionRecorder{State: p.state, Store: p.store, Lock: lock}).Run)
 	p.group.add((&gateway.QuarantineRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add((&gateway.SoftwareRecorder{State: p.state}).Run)
 	p.group.add(p.cacheTracker.Run)
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -18,8 +18,13 @@
 // instance records a version before the others check.
 const recordPeriod = 300 * time.Millisecond
 
+// versionCheckPeriod is how often the rollout leader records that all released versions are recorded. A version that is released while no
+// instance runs is taken for at most that much older than it is.
+const versionCheckPeriod = 4 * time.Second
+
 // VersionRecorder records in the metadata store when each weight version was first seen, so that instances that start later compute
-// the same expiry of older versions.
+// the same expiry of older versions. The rollout leader also records until when there were no others, for versions that are released
+// while no instance runs.
 type VersionRecorder struct {
 	State *State
 	Store metastore.Store
@@ -28,7 +33,11 @@
 
 // Run records weight versions until ctx ends, and returns the context's error.
 func (r *VersionRecorder) Run(ctx context.Context) error {
+	var checkedAt time.Time
 	for sleep.For(ctx, rand.N(2*recordPeriod)) == nil {
+		if time.Since(checkedAt) >= versionCheckPeriod && r.recordCheck(ctx) {
+			checkedAt = time.Now()
+		}
 		for _, observed := range r.State.unrecordedVersions() {
 			if err := r.record(ctx, observed); err != nil && !errors.Is(err, metastore.ErrConflict) {
 				klog.InfoS("weight version not recorded", "model", observed.Model, "version", observed.Version, "err", err.Error())
@@ -50,3 +59,32 @@
 	})
 	return err
 }
+
+// versionCheck is the value of versionCheckKey.
+type versionCheck struct {
+	AtMillis int64 `json:"at"` // Unix milliseconds
+}
+
+// recordCheck records that all versions released so far are recorded, if this instance is the rollout leader and they are. It reports
+// whether it did.
+func (r *VersionRecorder) recordCheck(ctx context.Context) bool {
+	token, held := r.Lock.Token()
+	if !held {
+		return false
+	}
+	age := max(r.State.metadataAge(), 0) // read first: versions that are released from now on are not covered
+	at := time.Now().Add(-age)
+	if len(r.State.unrecordedVersions()) > 0 {
+		return false
+	}
+	raw, err := json.Marshal(versionCheck{AtMillis: at.UnixMilli()})
+	if err == nil {
+		_, err = r.Store.Commit(ctx, metastore.Txn{
+			If: []metastore.Condition{{Key: RolloutLockKey, Revision: token}}, Puts: []metastore.Put{{Key: versionCheckKey, Value: raw}},
+		})
+	}
+	if err != nil {
+		klog.InfoS("check of the weight versions not recorded", "err", err.Error())
+	}
+	return err == nil
+}
--- a/internal/gateway/naming_test.go
+++ b/internal/gateway/naming_test.go
@@ -135,6 +135,31 @@
 	testStandstill(t, false, 7*time.Second)
 }
 
+// Guards against a time limit that is cut short: a version that is released after a standstill, or after a start, counts from its release.
+func TestVersionReleasedAfterStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, newest := memory.New(), new(atomic.Int64)
+		newest.Store(1)
+		_, stop := startInstanceWith(t, store, 15*time.Second, newestRecords{newest})
+		time.Sleep(5 * time.Second)
+		stop()
+		time.Sleep(20 * time.Second)
+		state, stop := startInstanceWith(t, store, 15*time.Second, newestRecords{newest})
+		defer stop()
+		time.Sleep(3 * time.Second)
+		newest.Store(2)
+		store.Put("op/version/m", []byte("2"))
+		time.Sleep(12500 * time.Millisecond)
+		if targetDisabled(state) {
+			t.Error("target out of rotation before the time limit")
+		}
+		time.Sleep(time.Second)
+		if !targetDisabled(state) {
+			t.Error("target on old weights still in rotation at the time limit")
+		}
+	})
+}
+
 // testStandstill stops a process for seven seconds. A version is released during that time, or just before it. suspended is the part of the
 // time that the process's clock does not count.
 func testStandstill(t *testing.T, during bool, suspended time.Duration) {
--- a/internal/gateway/own.go
+++ b/internal/gateway/own.go
@@ -17,6 +17,8 @@
 	// versionPrefix is the prefix of the records of when each weight version was first seen. The deadline for its use on all targets
 	// counts from then, even while all instances are down.
 	versionPrefix = keyPrefix + "named/"
+	// versionCheckKey is the key of the record of when all released weight versions were last known to be recorded under versionPrefix.
+	versionCheckKey = keyPrefix + "named-checked"
 	// RolloutStateKey is the key of the published rollout state: which targets are out of rotation to load weights, which have loaded
 	// them, and which cached parts are retired.
 	RolloutStateKey = keyPrefix + "loading"
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -130,7 +130,8 @@
 	loading          map[string]bool                    // targets that are out of rotation to load weights
 	loaded           []loadedVersion                    // versions that targets have loaded, ahead of their own records
 	retired          map[string]retirement.Shares       // retired cached parts by model
-	recordedVersions map[string]bool                    // keys of weight versions whose first sighting is recorded in the store
+	observation      observation
+	recordedVersions map[string]bool // keys of weight versions whose first sighting is recorded in the store
 	software         softwareState
 	rolloutLocked    bool // an instance holds the rollout lock
 	timeDependent    bool // the view changes as time passes, without a change of the metadata
@@ -196,9 +197,10 @@
 func (s *State) OnChange(items map[string]metastore.Item, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	s.beforeChange(now)
 	s.metadataRevision = revision
 	s.snapshot = s.opts.Records.Update(items)
-	now := time.Now()
 	s.readSystemKeys(items, now)
 	s.rebuild(now)
 }
@@ -208,6 +210,7 @@
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observation.tick(s.versionTime(now))
 	if s.snapshot != nil && s.timeDependent {
 		s.rebuild(now)
 	}
@@ -244,6 +247,8 @@
 			}
 		case strings.HasPrefix(key, versionPrefix):
 			s.readVersionRecord(key, item, now)
+		case key == versionCheckKey:
+			s.readVersionCheck(item, now)
 		case key == RolloutStateKey:
 			state, err := decodeRolloutState(item.Value)
 			if err != nil {
@@ -417,7 +422,7 @@
 		s.budgetInstances, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
 	for model, version := range v.weights {
-		s.observeVersion(model, version, 0, false, now)
+		s.observeNewestVersion(model, version, now)
 	}
 	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(now), s.retired
 	v.links = s.storeLinks(v.catalog)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/rollout"
 	"github.com/egrethoist/egrethoist/internal/roster"
 )
@@ -36,14 +38,98 @@
 	return s.opts.Suspended()
 }
 
-// observeVersion records that a weight version was first seen at least age ago. recorded is set if another instance has recorded that in
-// the metadata store. s.mu must be held.
+// maxTickDelay is how late a tick may be before the process counts as having stood still: well above the delays of a busy machine.
+const maxTickDelay = time.Second
+
+// observation says since when this instance has seen each change of the metadata soon. Its times are those of versionHistory.
+type observation struct {
+	starting  bool      // the process applies its first reading of the metadata
+	lastTick  time.Time // zero before the first tick
+	resumedAt time.Time // start of the process, or end of its last standstill
+	// missedSince is the time from which changes may have gone unseen until resumedAt, zero if none can have.
+	missedSince time.Time
+}
+
+// tick records that the process runs.
+func (o *observation) tick(now time.Time) {
+	if !o.lastTick.IsZero() && now.Sub(o.lastTick) > maxTickDelay {
+		o.resume(o.lastTick, now)
+	}
+	o.lastTick = now
+}
+
+// resume records that changes since a time may have gone unseen until now.
+func (o *observation) resume(missedSince, now time.Time) {
+	if o.missedSince.IsZero() || missedSince.Before(o.missedSince) {
+		o.missedSince = missedSince
+	}
+	o.resumedAt = now
+}
+
+// confirm records that the metadata seen so far matched the store at a time.
+func (o *observation) confirm(at time.Time) {
+	if !at.Before(o.resumedAt) {
+		o.missedSince = time.Time{}
+	}
+}
+
+// age returns how long ago an event that is seen now for the first time may have been.
+func (o *observation) age(now time.Time) time.Duration {
+	if o.missedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(o.missedSince)
+}
+
+// beforeChange updates the observation before a reading of the metadata is applied. s.mu must be held.
+func (s *State) beforeChange(now time.Time) {
+	now = s.versionTime(now)
+	if !s.observation.lastTick.IsZero() {
+		s.observation.tick(now)
+	}
+	s.observation.starting = s.snapshot == nil
+	if s.observation.starting {
+		return
+	}
+	if age := s.metadataAge(); age >= 0 {
+		s.observation.confirm(now.Add(-age))
+	} else if s.opts.MetadataAge == nil {
+		s.observation.confirm(now)
+	}
+}
+
+// readVersionCheck reads, at the start of the process, until when all released versions were recorded. s.mu must be held.
+func (s *State) readVersionCheck(item metastore.Item, now time.Time) {
+	if !s.observation.starting {
+		return
+	}
+	var check versionCheck
+	if err := json.Unmarshal(item.Value, &check); err != nil {
+		klog.ErrorS(err, "invalid check of the weight versions ignored", "revision", item.Revision)
+		return
+	}
+	age := max(time.Duration(now.UnixMilli()-check.AtMillis)*time.Millisecond, 0)
+	s.observation.resume(s.versionTime(now).Add(-age), s.versionTime(now))
+}
+
+// observeVersion records that a weight version was released at least age ago, as another instance has recorded in the metadata store. s.mu
+// must be held.
 func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
 	if s.versionHistory.Observe(model, version, age, s.versionTime(now)) {
 		klog.InfoS("weight version released", "model", model, "version", version, "age_ms", age.Milliseconds(), "recorded", recorded, "metadata", s.metadataRevision)
 	}
 }
 
+// observeNewestVersion records that a weight version is the newest one now. If it has not been recorded, it counts as released when
+// this instance last saw that there was none. s.mu must be held.
+func (s *State) observeNewestVersion(model string, version int, now time.Time) {
+	age := time.Duration(0)
+	if !s.versionHistory.Known(model, version) {
+		age = s.observation.age(s.versionTime(now))
+	}
+	s.observeVersion(model, version, age, false, now)
+}
+
 // reportWeights updates the gauges of targets on old weights, and logs targets whose weights have just expired. s.mu must be held.
 func (s *State) reportWeights(now time.Time) {
 	if s.snapshot == nil || s.snapshot.Catalog == nil {
--- a/internal/roster/weights.go
+++ b/internal/roster/weights.go
@@ -40,6 +40,11 @@
 	return true
 }
 
+// Known reports whether a version of a model was seen.
+func (w *WeightVersions) Known(model string, version int) bool {
+	return slices.ContainsFunc(w.versions[model], func(n observedVersion) bool { return n.version == version })
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
