gateway: check right before the send that the target is in rotation and its weights have not expired

The check looked only at the presence of the target. A target that is taken out of rotation, or whose weights expire, while a request waits for a grant, for a probe or for a connection still got the request.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -93,8 +93,9 @@
 	return true
 }
 
-// errStaleChoice is returned when a chosen target must not be used any more: it is no longer in the newest view, it has since
-// announced that it leaves, requested a pause or reported a rate limit, or the configuration has changed.
+// errStaleChoice is returned when a chosen target must not be used any more: it is no longer in the newest view, it is out of rotation
+// or its weights have expired, it has since announced that it leaves, requested a pause or reported a rate limit, or the configuration
+// has changed.
 var errStaleChoice = errors.New("target or configuration changed before the request was sent")
 
 // revalidate checks the chosen target against fresh metadata just before the request is sent, since the process may have been
@@ -111,10 +112,14 @@
 	if _, limited := t.limit.rate(time.Now()); limited && time.Since(rq.grantedAt) > grantTTL {
 		return errStaleChoice
 	}
-	if v == rq.view || v.catalog == rq.view.catalog && v.isUsable(rq.service.Name, t) {
-		return nil
+	if v.catalog != rq.view.catalog || !v.isUsable(rq.service.Name, t) {
+		return errStaleChoice
+	}
+	if now := time.Now(); rq.service.Engine != nil && v.hasExpired(t, rq.call.Model, now) {
+		rq.gateway.opts.State.replaceView(v, now) // otherwise the target might be chosen again
+		return errStaleChoice
 	}
-	return errStaleChoice
+	return nil
 }
 
 // mayHaveRun reports whether any target may have started to run the request.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -180,10 +180,24 @@
 	return s.current.Load()
 }
 
-// isUsable reports whether a target is usable for the requests of a service.
+// isUsable reports whether a target may get a new request of a service, as of the time of the view.
 func (v *view) isUsable(service string, t *target) bool {
 	sv := v.services[service]
-	return sv != nil && sv.targets[t.id] == t
+	return sv != nil && sv.targets[t.id] == t && sv.snapshot.Candidate(t.id).Available()
+}
+
+// hasExpired reports whether the weights of a target for a model have expired. The view may have been built before that.
+func (v *view) hasExpired(t *target, model string, now time.Time) bool {
+	return t.version(model) < v.versionHistory.MinVersion(model, now)
+}
+
+// replaceView rebuilds the view if v is still the current one.
+func (s *State) replaceView(v *view, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.Load() == v {
+		s.rebuild(now)
+	}
 }
 
 // Ready reports whether there is a view, so that requests can be routed.
