--- a/internal/metastore/relay_test.go
+++ b/internal/metastore/relay_test.go
@@ -250,3 +250,59 @@
 		})
 	}
 }
+
+// slowStore delays the answers to watches.
+type slowStore struct {
+	metastore.Store
+	delay time.Duration
+}
+
+func (s slowStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]metastore.Event, uint64, error) {
+	events, asOf, err := s.Store.Watch(ctx, prefix, after, wait)
+	time.Sleep(s.delay)
+	return events, asOf, err
+}
+
+// Guards against a cause of the incident DRAIN of 2026-12-05: members stayed with an upstream whose link was full. Each of its answers came
+// in time, but the state in it was old by then, although the store answered the members at once.
+func TestMembersLeaveUpstreamWithOldState(t *testing.T) {
+	const (
+		linkDelay  = 600 * time.Millisecond  // of answers to the upstream and from it
+		pollMargin = 100 * time.Millisecond  // that a poll may take in addition to its wait
+		maxAge     = 1700 * time.Millisecond // of metadata by which requests are sent without a wait
+	)
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		upstream, _ := startMirror(t, metastore.MirrorOptions{Store: slowStore{store, linkDelay}})
+		member, get := startMirror(t, metastore.MirrorOptions{
+			Store: store, Upstreams: func() []string { return []string{"upstream"} },
+			FetchChanges: func(ctx context.Context, _ string, after uint64, within time.Duration) (metastore.Update, error) {
+				ctx, cancel := context.WithTimeout(ctx, within+pollMargin)
+				defer cancel()
+				u, ok := upstream.ServeChanges(ctx, after, within)
+				if !ok {
+					return u, errRefused
+				}
+				select {
+				case <-time.After(linkDelay):
+					return u, nil
+				case <-ctx.Done():
+					return metastore.Update{}, ctx.Err()
+				}
+			},
+		})
+		get("")
+		oldest := time.Duration(0)
+		for i := range 500 {
+			if i%5 == 0 {
+				store.Put("a", []byte(strconv.Itoa(i)))
+			}
+			time.Sleep(20 * time.Millisecond)
+			age, _ := member.Age()
+			oldest = max(oldest, age)
+		}
+		if oldest > maxAge {
+			t.Errorf("state up to %v old, want at most %v", oldest, maxAge)
+		}
+	})
+}
