rollout: a missing report is not a load

A target whose report took longer than one step, failed once or was denied by a rate limit counted as one that loads. With the next report it got its order at once, although its requests were running and as many targets as allowed were loading.

A plan is now told that a target is unreported, keeps what it knew of it and sends it no order. The test of denied reports reads the new field where it read Busy; its bounds are the same.

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -195,7 +195,7 @@
 		g := engineGroup{service: "s", model: "m", newestVersion: 2, targets: m.targets}
 		denied := 0
 		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(rolloutPeriod) {
-			if before := engines.calls.Load(); controller.observe(t.Context(), g)[0].Busy && engines.calls.Load() == before {
+			if before := engines.calls.Load(); controller.observe(t.Context(), g)[0].Unreported && engines.calls.Load() == before {
 				denied++
 			}
 		}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -80,8 +80,7 @@
 		}
 		m := c.missedReports[id]
 		rt.Unresponsive = m != nil && m.count >= maxMissedReports || t.stats.PauseRemaining(now) > 0
-		// A target gets no order while its report is missing or pending.
-		rt.Busy = rt.Busy || !rt.Unresponsive && (m != nil || c.reportsPending[id])
+		rt.Unreported = rt.Unreported || !rt.Unresponsive && (m != nil || c.reportsPending[id])
 		list = append(list, rt)
 	}
 	return list
@@ -137,7 +136,7 @@
 // applyReport applies the result of a report request to the target's state in the rollout.
 func (c *RolloutController) applyReport(rt *rollout.Target, g engineGroup, result reportResult, now time.Time) {
 	if result.denied {
-		rt.Busy = true // an order would be denied as well
+		rt.Unreported = true // an order would be denied as well
 		return
 	}
 	if result.err != nil {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -40,7 +40,8 @@
 	Version      int       // weight version that it serves
 	Expiry       time.Time // when it gets no more requests because of its version; zero if never
 	Idle         bool      // known to have no request in flight
-	Busy         bool      // carrying out an order, or unable to take one now
+	Busy         bool      // carrying out an order
+	Unreported   bool      // its report is missing or pending, or it can't take an order now: Idle and Busy are unknown
 	Unresponsive bool      // does not answer; only known of targets that are out of service
 }
 
@@ -57,7 +58,7 @@
 	phase     phase
 	outSince  time.Time // when it was taken out of service
 	orderedAt time.Time // when the last order to load was sent
-	idle      bool      // had no request in flight when last seen
+	idle      bool      // had no request in flight when last reported
 	loadSince time.Time // when it was ordered to load and had no requests; zero before that
 	observed  bool      // seen to load after an order of this plan
 }
@@ -88,11 +89,12 @@
 	Waiting      Status = iota // idle, until fewer targets load
 	Draining                   // finishes its requests
 	Ordered                    // has the order to load and still finishes its requests
-	Loading                    // carries out an order, or its report is missing or pending
+	Loading                    // carries out an order
+	Unreported                 // its report is missing or pending
 	Unresponsive               // does not answer
 )
 
-var statusNames = [...]string{"waiting", "draining", "ordered", "loading", "unresponsive"}
+var statusNames = [...]string{"waiting", "draining", "ordered", "loading", "unreported", "unresponsive"}
 
 func (s Status) String() string { return statusNames[s] }
 
@@ -249,15 +251,11 @@
 	loads := 0
 	for id, pr := range p.outOfService {
 		t := byID[id]
-		if t.Busy {
-			pr.phase = loading
-			pr.observed = !pr.orderedAt.IsZero()
-		}
-		if pr.idle = t.Idle; pr.phase == loading && t.Idle && pr.loadSince.IsZero() {
-			pr.loadSince = now
+		if !t.Unreported {
+			pr.observe(t, now)
 		}
 		// A target that was ordered to load and still has requests in flight does not use the weight store yet.
-		if pr.phase == loading && t.Idle {
+		if pr.phase == loading && pr.idle {
 			loads++
 		}
 	}
@@ -266,7 +264,7 @@
 	for _, id := range byAge {
 		pr, t := p.outOfService[id], byID[id]
 		switch {
-		case t.Busy || t.Unresponsive:
+		case t.Busy || t.Unreported || t.Unresponsive:
 		case pr.phase == loading:
 			if now.Sub(pr.orderedAt) >= p.opts.RetryInterval {
 				s.Load = append(s.Load, id)
@@ -280,6 +278,17 @@
 	return s
 }
 
+// observe applies the reported state of the target.
+func (pr *progress) observe(t *Target, now time.Time) {
+	if t.Busy {
+		pr.phase = loading
+		pr.observed = !pr.orderedAt.IsZero()
+	}
+	if pr.idle = t.Idle; pr.phase == loading && t.Idle && pr.loadSince.IsZero() {
+		pr.loadSince = now
+	}
+}
+
 // report returns the progress of the targets that are out of service, given by their sorted IDs.
 func (p *Plan) report(byID map[string]*Target, ids []string) []Progress {
 	out := make([]Progress, 0, len(ids))
@@ -289,6 +298,8 @@
 		switch {
 		case t.Unresponsive:
 			status = Unresponsive
+		case t.Unreported:
+			status = Unreported
 		case t.Busy:
 			status = Loading
 		case pr.phase == loading:
