rollout: a new leader takes over the targets that are out of rotation

What callers saw: after a change of the rollout leader (a stop, a crash, an outage) targets in the middle of a load came back into rotation, others were taken out in their place, and the first order came 1.6 s after the lock: every handover paid for the end of running requests again, although the targets had been without new requests all the while.

Cause: the controller reset its state and ignored the published list of targets.

Change: each instance notes when it sees a target published as out of rotation. A new leader starts its plans with these targets and times; their reports tell whether they load.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -73,6 +73,7 @@
 	inbox          *reportInbox
 	reportsPending map[string]bool              // targets with a report request in flight, by ID
 	newResults     map[string]reportResult      // taken from the inbox but not processed yet, by ID
+	outSince       map[string]time.Time         // by ID of targets that any leader has published as out: when this instance saw that
 	loadableAt     map[string]time.Time         // by ID of targets that are out: when the load may be ordered
 	retired        map[string]retirement.Shares // by model
 	retirements    []publishedRetirement        // oldest first; the first is the latest one that has reached all instances
@@ -83,13 +84,16 @@
 }
 
 // NewRolloutController returns a controller that does nothing until Run is called.
-func NewRolloutController(o RolloutOptions) *RolloutController { return &RolloutController{opts: o} }
+func NewRolloutController(o RolloutOptions) *RolloutController {
+	return &RolloutController{opts: o, outSince: map[string]time.Time{}}
+}
 
 // Run drives the rollouts until ctx ends, and returns the context's error.
 func (c *RolloutController) Run(ctx context.Context) error {
 	var heldToken uint64
 	for sleep.For(ctx, rolloutPeriod) == nil {
 		token, ok := c.opts.Lock.Token()
+		c.followRotation(time.Now())
 		if !ok {
 			heldToken = 0
 			continue
@@ -103,11 +107,33 @@
 	return ctx.Err()
 }
 
-// reset discards the state of an earlier term as leader. The progress of the targets is learned again from their reports.
+// followRotation records since when targets are out of rotation, so that this instance can go on from there when it becomes the leader.
+func (c *RolloutController) followRotation(now time.Time) {
+	published := c.opts.State.outOfRotation()
+	maps.DeleteFunc(c.outSince, func(id string, _ time.Time) bool { return !published[id] })
+	for id := range published {
+		if _, known := c.outSince[id]; !known {
+			c.outSince[id] = now
+		}
+	}
+}
+
+// outOfRotation returns the IDs of the targets that are published as out of rotation. The map must not be changed.
+func (s *State) outOfRotation() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loading
+}
+
+// reset discards the state of an earlier term as leader. The targets that the leader before has taken out of rotation stay out; their
+// progress is learned again from their reports.
 func (c *RolloutController) reset() {
 	c.plans, c.targetReports, c.missedReports = map[string]*rollout.Plan{}, map[string]TargetReport{}, map[string]*reportFailures{}
 	c.inbox, c.reportsPending, c.newResults = newReportInbox(), map[string]bool{}, map[string]reportResult{}
 	c.loadableAt, c.loaded, c.lastFreed, c.logged = map[string]time.Time{}, nil, time.Time{}, map[string][]rollout.Progress{}
+	for id, since := range c.outSince {
+		c.loadableAt[id] = since.Add(excludeDelay)
+	}
 	c.retired, c.retirements = c.opts.State.publishedRetirement(), nil
 	c.recordRetirement(time.Now())
 }
@@ -134,7 +160,7 @@
 	for _, g := range c.opts.State.engineGroups() {
 		key := g.service + "/" + g.model
 		if c.plans[key] == nil {
-			c.plans[key] = rollout.New(rollout.Options{})
+			c.plans[key] = c.newPlan(g)
 		}
 		observed := c.observe(ctx, g)
 		step := c.plans[key].Next(observed, g.newestVersion, now)
@@ -160,6 +186,17 @@
 	}
 }
 
+// newPlan returns the plan of a group, with its targets that are out of rotation.
+func (c *RolloutController) newPlan(g engineGroup) *rollout.Plan {
+	plan := rollout.New(rollout.Options{})
+	for id, at := range c.loadableAt {
+		if g.targets[id] != nil {
+			plan.TakeOver(id, at.Add(-excludeDelay))
+		}
+	}
+	return plan
+}
+
 // retire adds to the retired parts of the group's model those that must make room for parts of the newest weights.
 func (c *RolloutController) retire(g engineGroup, observed []rollout.Target, outOfService []string) {
 	fleet := retirement.Fleet{NewestVersion: g.newestVersion, Targets: len(observed), Serving: map[int]int{}}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -81,6 +81,13 @@
 	return &Plan{opts: o, outOfService: map[string]*progress{}}
 }
 
+// TakeOver adds a target that an earlier leader has taken out of service. Whether it loads shows in its next report.
+func (p *Plan) TakeOver(id string, outSince time.Time) {
+	if p.outOfService[id] == nil {
+		p.outOfService[id] = &progress{outSince: outSince}
+	}
+}
+
 // Status says why a target that is out of service has not loaded yet.
 type Status uint8
 
