--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -201,3 +201,44 @@
 		t.Errorf("%d orders after a load that ended within 100 ms, want at least 2: nine targets have 11 s", len(s.Load))
 	}
 }
+
+// Guards against targets that have just loaded a superseded version and load again at once, while others wait whose weights expire sooner:
+// versions are named faster than they are loaded.
+func TestSupersededLoadGivesWayToOlderWeights(t *testing.T) {
+	list := newTargets(12, 1)
+	p := New(Options{})
+	ordered := p.Next(list, 2, epoch).Load
+	for _, id := range ordered {
+		p.LoadOrdered(id, epoch)
+		list[slices.IndexFunc(list, func(tg Target) bool { return tg.ID == id })].Busy = true
+	}
+	p.Next(list, 3, epoch.Add(time.Second))
+	for i := range list {
+		if list[i].Busy {
+			list[i].Busy, list[i].Version = false, 2
+		}
+	}
+	s := p.Next(list, 3, epoch.Add(2100*time.Millisecond))
+	if len(s.Load) != len(ordered) {
+		t.Errorf("orders %v, want %d", s.Load, len(ordered))
+	}
+	for _, id := range ordered {
+		if slices.Contains(s.OutOfService, id) || slices.Contains(s.Load, id) {
+			t.Errorf("%s, on version 2, is out of service again before the targets on version 1", id)
+		}
+	}
+}
+
+// Guards against targets that are out of service and expire last but get their order first, since they were taken out first.
+func TestOldestWeightsLoadFirst(t *testing.T) {
+	list := newTargets(6, 1)
+	for i := range list {
+		list[i].Version = 2 - i/5
+	}
+	p := New(Options{})
+	p.TakeOver("t00", epoch.Add(-3*time.Second))
+	p.TakeOver("t05", epoch.Add(-2*time.Second))
+	if s := p.Next(list, 3, epoch); !slices.Equal(s.Load, []string{"t05"}) {
+		t.Errorf("orders %v, want t05, the only one on version 1", s.Load)
+	}
+}
