--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -115,7 +115,7 @@
 	if v.catalog != rq.view.catalog || !v.isUsable(rq.service.Name, t) {
 		return errStaleChoice
 	}
-	if now := time.Now(); rq.service.Engine != nil && v.hasExpired(t, rq.call.Model, now) {
+	if now := time.Now(); rq.service.Engine != nil && rq.gateway.opts.State.hasExpired(v, t, rq.call.Model, now) {
 		rq.gateway.opts.State.replaceView(v, now) // otherwise the target might be chosen again
 		return errStaleChoice
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -191,8 +191,9 @@
 }
 
 // hasExpired reports whether the weights of a target for a model have expired. The view may have been built before that.
-func (v *view) hasExpired(t *target, model string, now time.Time) bool {
-	return t.version(model) < v.versionHistory.MinVersion(model, now)
+func (s *State) hasExpired(v *view, t *target, model string, now time.Time) bool {
+	version := t.version(model)
+	return version < v.weights[model] && version < v.versionHistory.MinVersion(model, s.versionTime(now))
 }
 
 // replaceView rebuilds the view if v is still the current one.
