soak: VERSION is judged whatever happened to the instances since the release

Judged was only what started with nothing disturbed since the latest release, so that an outage of all instances excused everything. Now only the sending instance must have been undisturbed for a while, and the store and the target since the release; each release counts, not only the latest. The fault that kills all instances keeps them down for its length, and every second time weights are released meanwhile.

--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -12,13 +12,12 @@
 
 // history records the changes made by operators and targets and when they were made. It is safe for concurrent use.
 type history struct {
-	mu                sync.Mutex
-	configs           []configVersion
-	leaving           map[string]time.Time // by target
-	evacuated         map[string]time.Time // by failure domain; only those that are evacuated now
-	plannedStops      map[string][]time.Time
-	weightVersion     int
-	weightVersionTime time.Time
+	mu             sync.Mutex
+	configs        []configVersion
+	leaving        map[string]time.Time // by target
+	evacuated      map[string]time.Time // by failure domain; only those that are evacuated now
+	plannedStops   map[string][]time.Time
+	weightVersions []requestedWeights // in the order of the requests, without the initial version
 }
 
 // configVersion is a configuration and the time just before it was written to the metadata store.
@@ -29,7 +28,7 @@
 
 // newHistory returns a history without changes, with weight version 1.
 func newHistory() *history {
-	return &history{leaving: map[string]time.Time{}, evacuated: map[string]time.Time{}, plannedStops: map[string][]time.Time{}, weightVersion: 1}
+	return &history{leaving: map[string]time.Time{}, evacuated: map[string]time.Time{}, plannedStops: map[string][]time.Time{}}
 }
 
 // recordConfig records a configuration that is about to be written.
@@ -92,18 +91,40 @@
 	return time.Time{}, false
 }
 
+// requestedWeights is a weight version and when its roll-out was requested.
+type requestedWeights struct {
+	version int
+	at      time.Time
+}
+
 // recordWeightVersion records the request to roll out a weight version.
 func (h *history) recordWeightVersion(v int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.weightVersion, h.weightVersionTime = v, time.Now()
+	h.weightVersions = append(h.weightVersions, requestedWeights{v, time.Now()})
 }
 
 // latestWeightVersion returns the latest requested weight version and when it was requested; zero for the initial one.
 func (h *history) latestWeightVersion() (int, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.weightVersion, h.weightVersionTime
+	if len(h.weightVersions) == 0 {
+		return 0, time.Time{}
+	}
+	latest := h.weightVersions[len(h.weightVersions)-1]
+	return latest.version, latest.at
+}
+
+// newerWeightVersion returns the first weight version that was requested after v and when that was, false if there is none.
+func (h *history) newerWeightVersion(v int) (requestedWeights, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range h.weightVersions {
+		if w.version > v {
+			return w, true
+		}
+	}
+	return requestedWeights{}, false
 }
 
 // matchConfigs reports whether any configuration has a property, and whether one does that was in force at the given time or
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -177,9 +177,18 @@
 		c.addViolation("REFUSED", "request %s (%s) ran at %s after its caller received an answer that it did not run", r.ID, a.class.name, r.Target)
 	}
 	c.checkConfiguration(a, r)
-	if latest, requested := c.history.latestWeightVersion(); r.Model != "" && r.Weights < latest && r.At.After(requested.Add(c.bounds.Weights)) &&
-		c.disturbances.allUndisturbed(requested, r.At) {
-		c.addViolation("VERSION", "request %s started at %s on weight version %d, %v after version %d was requested", r.ID, r.Target, r.Weights, r.At.Sub(requested), latest)
+	c.checkWeights(a, r)
+}
+
+// checkWeights checks that a request does not start on old weights for too long after newer ones were requested, whatever happened to the
+// instances meanwhile: only the one that sent the request must have been undisturbed for a while, and its target.
+func (c *checker) checkWeights(a *attempt, r standin.Run) {
+	newer, ok := c.history.newerWeightVersion(r.Weights)
+	if r.Model == "" || !ok || !r.At.After(newer.at.Add(c.bounds.Weights)) {
+		return
+	}
+	if c.connected(r.At.Add(-c.bounds.RecoveryTime), r.At, a.instance) && c.disturbances.undisturbed(newer.at, r.At, metaStorePart, r.Target) {
+		c.addViolation("VERSION", "request %s started at %s on weight version %d, %v after version %d was requested", r.ID, r.Target, r.Weights, r.At.Sub(newer.at), newer.version)
 	}
 }
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -186,7 +186,21 @@
 			s.execute(s.runOf(s.send("book", "1"), "t"))
 		}},
 		{"VERSION", func(s *fixture) {
-			s.history.weightVersion, s.history.weightVersionTime = 2, past
+			s.history.weightVersions = []requestedWeights{{2, past}}
+			s.execute(s.runOf(s.send("plan", "1"), "t"))
+		}},
+		{"VERSION", func(s *fixture) { // the instance was down when the weights were requested
+			s.history.weightVersions = []requestedWeights{{2, past}}
+			s.disturbances.add("front-0", past.Add(-time.Second), past.Add(time.Second))
+			s.execute(s.runOf(s.send("plan", "1"), "t"))
+		}},
+		{"VERSION", func(s *fixture) { // later ones were requested meanwhile
+			s.history.weightVersions = []requestedWeights{{2, past}, {3, time.Now()}}
+			s.execute(s.runOf(s.send("plan", "1"), "t"))
+		}},
+		{"", func(s *fixture) { // the instance has just been disturbed
+			s.history.weightVersions = []requestedWeights{{2, past}}
+			s.disturbances.add("front-0", past, time.Now())
 			s.execute(s.runOf(s.send("plan", "1"), "t"))
 		}},
 		{"ONE", func(s *fixture) {
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -152,12 +152,22 @@
 	all.Wait()
 }
 
-// killInstances kills all instances at once.
-func (f *fleet) killInstances(context.Context, fault) {
+// killInstances kills all instances at once, again and again for the length of the fault. Every second time weights are released meanwhile,
+// so that no instance sees the release.
+func (f *fleet) killInstances(ctx context.Context, fl fault) {
 	for _, in := range f.instances {
 		defer f.disturbances.begin(in.spec.Name)()
 		defer f.disturbances.begin(processPart(in.spec.Name))()
 		in.signal(syscall.SIGKILL)
 	}
+	if fl.index%2 == 0 {
+		f.rollOutWeights(ctx, fl)
+	}
+	for end := time.Now().Add(fl.length); time.Now().Before(end); {
+		time.Sleep(restartDelay)
+		for _, in := range f.instances {
+			in.signal(syscall.SIGKILL)
+		}
+	}
 	time.Sleep(2 * restartDelay)
 }
