--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -15,7 +15,7 @@
 
 // If every instance watched the store, each change would cost one call per instance. Therefore a few instances of each failure
 // domain watch it, and the others long-poll these upstreams, which respond at the next change or confirmation. An instance whose
-// upstreams fail watches the store itself, so a failed upstream delays it by at most one poll.
+// upstreams fail, or are late, watches the store itself, so a failed upstream delays it by at most one poll.
 
 const (
 	// upstreamPollTimeout bounds one poll of an upstream: a watch, its batch delay, and a round trip on a busy machine. A silent
@@ -26,7 +26,8 @@
 	upstreamBatchDelay = 30 * time.Millisecond
 	// upstreamBackoff is how long a failed upstream is not polled: about the time in which the record of a crashed instance expires.
 	upstreamBackoff = 5 * time.Second
-	// maxUpstreamAge is the maximum age of the state that an upstream serves: a watch, its batch delay, and a slow call.
+	// maxUpstreamAge is the maximum age of the state that an upstream serves, and the age of the own state at which a poll ends: a watch,
+	// its batch delay, and a slow call. An upstream whose link is full answers each poll in time, but with a state that is old on arrival.
 	maxUpstreamAge = maxWatchWait + watchBatchDelay + 300*time.Millisecond
 	// maxLoggedChanges bounds the changes that an upstream keeps. An instance that is further behind gets the full state.
 	maxLoggedChanges = 2048
@@ -210,6 +211,15 @@
 	}
 	calledAt := m.opts.Clock()
 	upstream := m.upstreams.choose(m.opts.Upstreams(), calledAt)
+	age, _ := m.Age()
+	within := min(upstreamPollTimeout, maxUpstreamAge-age)
+	if upstream != "" && within < minWatchWait {
+		if upstream == m.upstreams.current {
+			klog.InfoS("instance gives old metadata", "upstream", upstream, "age", age, "revision", m.asOf)
+			m.upstreams.backOff(upstream, calledAt+upstreamBackoff)
+		}
+		upstream = ""
+	}
 	if upstream != m.upstreams.current {
 		klog.InfoS("changes of the metadata store come from", "upstream", upstream, "before", m.upstreams.current) // empty: the store itself
 		m.upstreams.current = upstream
@@ -217,7 +227,7 @@
 	if upstream == "" {
 		return false
 	}
-	u, err := m.opts.FetchChanges(ctx, upstream, m.asOf, upstreamPollTimeout)
+	u, err := m.opts.FetchChanges(ctx, upstream, m.asOf, within)
 	if err == nil {
 		err = u.validate()
 	}
