--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// Guards against requests to a leaving target (DRAIN) whose earlier write of its record, which got no answer, is executed after the one by
+// which it started leaving. Another incarnation under the same ID is a new target.
+func TestLateWriteDoesNotMakeLeavingTargetUsable(t *testing.T) {
+	r := New(Options{ExpiryGrace: grace})
+	leaving := record("a")
+	leaving.Leaving = true
+	for i, rec := range []Record{record("a"), leaving, record("a")} {
+		r.Update(newSnapshot(rec), time.Time{}, epoch.Add(time.Duration(i)*time.Second))
+	}
+	if got := r.Usable(); len(got) != 0 || !r.All()[0].Leaving {
+		t.Errorf("usable %v after a late write, want none", got)
+	}
+	restarted := record("a")
+	restarted.Born++
+	r.Update(newSnapshot(restarted), time.Time{}, epoch.Add(10*time.Second))
+	if usableCount(r) != 1 {
+		t.Error("the next incarnation is not usable")
+	}
+}
+
 func TestRemovedTargetIsDroppedAtOnce(t *testing.T) {
 	r := New(Options{ExpiryGrace: grace})
 	r.Update(newSnapshot(record("a")), time.Time{}, epoch)
