--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -151,6 +151,8 @@
 	if until := now.Add(record.ColdFor); record.ColdFor > 0 && record.ColdFor != t.ColdFor && until.After(t.ColdUntil) {
 		t.ColdUntil = until
 	}
+	// An incarnation that leaves does not come back. A record that says so is an earlier write, executed late.
+	record.Leaving = record.Leaving || record.Born > 0 && record.Born == t.Born && t.Leaving
 	t.Record, t.Expired = record, false
 }
 
