rollout: a target that has loaded a superseded version does not load again before those on older weights

Its order to load the next version went out at once, since it still counted as a target that has its order, and its ended load took the place of another. It now goes back into service and is taken out again when it is its turn.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -56,6 +56,7 @@
 // progress is the state of a target that is out of service.
 type progress struct {
 	phase     phase
+	version   int       // weight version when it was last seen; zero before that
 	outSince  time.Time // when it was taken out of service
 	orderedAt time.Time // when the last order to load was sent
 	idle      bool      // had no request in flight when last reported
@@ -133,13 +134,20 @@
 			old = append(old, t)
 		}
 	}
+	// A target that has loaded a version that is not the newest any more goes back into service, unless it is the next one to load.
+	superseded := map[string]time.Time{}
 	for id, pr := range p.outOfService {
 		t := byID[id]
-		if t != nil && t.Version >= newest {
-			p.observeLoad(pr, now)
+		if t == nil {
+			delete(p.outOfService, id)
+			continue
 		}
-		if t == nil || t.Version >= newest {
+		loaded := t.Version >= newest || pr.version != 0 && t.Version > pr.version
+		pr.version = t.Version
+		if loaded {
+			p.observeLoad(pr, now)
 			delete(p.outOfService, id)
+			superseded[id] = pr.outSince
 		}
 	}
 	maxLoads := p.maxLoads(old, len(targets), now)
@@ -155,7 +163,7 @@
 			unresponsive++
 		}
 	}
-	p.takeOut(old, maxLoads+maxDraining+min(unresponsive, maxDraining), now)
+	p.takeOut(old, superseded, maxLoads+maxDraining+min(unresponsive, maxDraining), now)
 	s := p.nextStep(byID, maxLoads, now)
 	s.Behind = len(old)
 	return s
@@ -226,8 +234,8 @@
 }
 
 // takeOut takes further targets out of service until maxOut are: first busy ones, since they are loading already, then
-// those on the oldest weights, whose time limit ends first.
-func (p *Plan) takeOut(old []*Target, maxOut int, now time.Time) {
+// those on the oldest weights, whose time limit ends first. superseded has the targets that were out of service until now, and since when.
+func (p *Plan) takeOut(old []*Target, superseded map[string]time.Time, maxOut int, now time.Time) {
 	slices.SortStableFunc(old, func(a, b *Target) int {
 		if a.Busy != b.Busy {
 			if a.Busy {
@@ -242,7 +250,11 @@
 			return
 		}
 		if p.outOfService[t.ID] == nil {
-			p.outOfService[t.ID] = &progress{outSince: now}
+			since, wasOut := superseded[t.ID]
+			if !wasOut {
+				since = now
+			}
+			p.outOfService[t.ID] = &progress{version: t.Version, outSince: since}
 		}
 	}
 }
