--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -259,8 +259,8 @@
 	}
 }
 
-// nextStep returns the targets out of service, and of those the ones to load now: at most maxLoads at a time, longest
-// out of service first.
+// nextStep returns the targets out of service, and of those the ones to load now: at most maxLoads at a time, those on the oldest
+// weights first, and of these the longest out of service.
 func (p *Plan) nextStep(byID map[string]*Target, maxLoads int, now time.Time) Step {
 	var s Step
 	for id := range p.outOfService {
@@ -278,9 +278,11 @@
 			loads++
 		}
 	}
-	byAge := slices.Clone(s.OutOfService)
-	slices.SortStableFunc(byAge, func(a, b string) int { return p.outOfService[a].outSince.Compare(p.outOfService[b].outSince) })
-	for _, id := range byAge {
+	byUrgency := slices.Clone(s.OutOfService)
+	slices.SortStableFunc(byUrgency, func(a, b string) int {
+		return cmp.Or(cmp.Compare(byID[a].Version, byID[b].Version), p.outOfService[a].outSince.Compare(p.outOfService[b].outSince))
+	})
+	for _, id := range byUrgency {
 		pr, t := p.outOfService[id], byID[id]
 		switch {
 		case t.Busy || t.Unreported || t.Unresponsive:
