quarantine: failing tests of quarantines that are restored after they were refuted

The record of a quarantine outlives the answer that refutes it, and restarted gateways take the records of a set of parts and of one of them for different crashes.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -127,6 +127,34 @@
 	}
 }
 
+// Guards against the incident of 2026-12-05 (LOST): the records of a set of parts and of one of them were taken for different crashes, and
+// the other part was quarantined alone.
+func TestRestoredSetDoesNotBlameOtherPart(t *testing.T) {
+	set, single, other := parts("s", "x"), parts("x"), parts("s")
+	for _, c := range []struct {
+		name     string
+		restored [][]Part
+		request  []Part
+		want     Verdict
+	}{
+		{"the other part", [][]Part{set, single}, parts("s", "y"), Probe},
+		{"the other part, restored in another order", [][]Part{single, set}, parts("s", "y"), Probe},
+		{"the recorded part", [][]Part{set, single}, parts("x", "y"), Refuse},
+		{"both parts", [][]Part{set, single}, parts("s", "x"), Refuse},
+		{"the other part, recorded as well", [][]Part{set, single, other}, parts("s", "y"), Refuse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := NewTracker(epoch)
+			for _, restored := range c.restored {
+				tracker.Restore(Quarantine{Parts: restored, Crashes: 2, LastCrash: at(0)}, at(10))
+			}
+			if got := tracker.Check(c.request, 1, at(20)); got.Verdict != c.want {
+				t.Errorf("verdict %d with parts %v, want %d; quarantines %v", got.Verdict, got.Parts, c.want, tracker.Quarantines())
+			}
+		})
+	}
+}
+
 // Each further crash must lengthen the quarantine, so that a part that stays deadly costs ever fewer targets.
 func TestQuarantineGrows(t *testing.T) {
 	for crashes, want := range map[int]time.Duration{2: 2 * time.Minute, 3: 8 * time.Minute, 4: 32 * time.Minute, 5: time.Hour, 100: time.Hour} {
