quarantine: the record of a set does not blame one of its parts alone

Restarted instances took the records of a set and of one of its parts for different crashes of one time. The other part, which was never without that one, got a quarantine of its own, and its sound requests were refused for two minutes or more.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -73,7 +73,7 @@
 // record is the evidence against one part that no answer has refuted.
 type record struct {
 	part     Part
-	mentions []mentionID
+	mentions []mentionID // by crash, then by request
 	crashes  []partCrash // by time
 	// strong and all count crashes with strong and with any evidence, coinciding ones once.
 	strong, all int
@@ -199,12 +199,26 @@
 				slices.ContainsFunc(other.mentions, func(o mentionID) bool { return o.crash == id.crash })
 		})
 		if !found {
-			return false
+			return slices.ContainsFunc(records, r.impliedBy)
 		}
 	}
 	return true
 }
 
+// impliedBy reports whether the part was never without the other one in a request of a crash, and the other one has further crashes. It counts
+// coinciding crashes apart: the crashes of quarantines restored from records of one time coincide.
+func (r *record) impliedBy(other *record) bool {
+	if other.strong < max(r.strong, strongCrashes) || len(other.crashes) <= len(r.crashes) {
+		return false
+	}
+	return !slices.ContainsFunc(r.mentions, func(id mentionID) bool {
+		_, found := slices.BinarySearchFunc(other.mentions, id, func(a, b mentionID) int {
+			return cmp.Or(cmp.Compare(a.crash, b.crash), cmp.Compare(a.request, b.request))
+		})
+		return !found
+	})
+}
+
 // quarantineOf returns the quarantine of a part and of those that were in just the same requests of all crashes.
 func (t *Tracker) quarantineOf(r *record, records []*record) Quarantine {
 	q := Quarantine{Crashes: max(r.all, strongCrashes), LastCrash: r.crashes[len(r.crashes)-1].at}
