--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,8 @@
 				if !errors.Is(err, metastore.ErrConflict) {
 					klog.InfoS("quarantine not recorded", "key", change.key, "err", err.Error())
 				}
+			} else if change.record == nil {
+				klog.InfoS("record of a quarantine deleted", "key", change.key)
 			}
 		}
 	}
@@ -113,13 +116,27 @@
 		due = append(due, recordChange{key: key, revision: q.restored[key], record: &record, refused: refused})
 	}
 	for key, record := range q.records {
-		if now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention && rand.IntN(instances) == 0 {
+		expired := now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention
+		if (expired || q.isRefuted(&record, current)) && rand.IntN(instances) == 0 {
 			due = append(due, recordChange{key: key, revision: q.restored[key]})
 		}
 	}
 	return due
 }
 
+// isRefuted reports whether the record must be deleted because an answer has refuted its quarantine. What an operator lifted is kept for
+// operators. A set is kept until the quarantines of its parts that follow from the answer are recorded. The caller must hold q.mu.
+func (q *quarantineService) isRefuted(record *quarantine.Record, current []quarantine.Quarantine) bool {
+	if record.Lifted() || !q.tracker.Refuted(record.Parts) {
+		return false
+	}
+	return !slices.ContainsFunc(current, func(c quarantine.Quarantine) bool {
+		_, recorded := q.records[QuarantineKey(c.Key())]
+		isPart := !slices.ContainsFunc(c.Parts, func(p quarantine.Part) bool { return !slices.Contains(record.Parts, p) })
+		return isPart && !recorded
+	})
+}
+
 // reportedParts returns the parts against which this instance has reported a crash.
 func (q *quarantineService) reportedParts() map[quarantine.Part]bool {
 	out := map[quarantine.Part]bool{}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -506,6 +506,19 @@
 	return nil
 }
 
+// Refuted reports whether one of the parts was answered after the last known crash of all of them: a quarantine of these parts is no longer
+// justified.
+func (t *Tracker) Refuted(parts []Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range slices.Backward(t.crashes) {
+		if e.mentionsAll(parts) {
+			return slices.ContainsFunc(parts, func(p Part) bool { return !t.clearedAt[p].Before(e.at) })
+		}
+	}
+	return false
+}
+
 // SuspectCount returns the number of suspected parts.
 func (t *Tracker) SuspectCount() int {
 	if b := t.current.Load(); b != nil {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -155,6 +155,36 @@
 	}
 }
 
+// A quarantine must count as refuted only by an answer after its last crash: its record is deleted then, and restarted instances would send
+// requests with a deadly part again.
+func TestRefuted(t *testing.T) {
+	both := []step{crash(crashOf(0, "s", "x")), crash(crashOf(500, "s", "x"))}
+	for _, c := range []struct {
+		name  string
+		steps []step
+		parts []Part
+		want  bool
+	}{
+		{"no evidence", nil, parts("x"), false},
+		{"no answer", both, parts("s", "x"), false},
+		{"one part answered after the last crash", append(slices.Clone(both), served(600, "s")), parts("s", "x"), true},
+		{"one part answered elsewhere", append(slices.Clone(both), peerServed(600, "s")), parts("s", "x"), true},
+		{"the part that was not answered", append(slices.Clone(both), served(600, "s")), parts("x"), false},
+		{"answered between the crashes", []step{crash(crashOf(0, "x")), served(100, "x"), crash(crashOf(500, "x"))}, parts("x"), false},
+		{"another crash since", append(slices.Clone(both), served(600, "s"), crash(crashOf(700, "s", "x"))), parts("s", "x"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := NewTracker(epoch.Add(-time.Hour))
+			for _, s := range c.steps {
+				s(tracker)
+			}
+			if got := tracker.Refuted(c.parts); got != c.want {
+				t.Errorf("refuted %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 // Each further crash must lengthen the quarantine, so that a part that stays deadly costs ever fewer targets.
 func TestQuarantineGrows(t *testing.T) {
 	for crashes, want := range map[int]time.Duration{2: 2 * time.Minute, 3: 8 * time.Minute, 4: 32 * time.Minute, 5: time.Hour, 100: time.Hour} {
