--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,6 +42,7 @@
 	finished bool // crashed is valid
 	crashed  bool
 	suspects []quarantine.Suspect
+	cut      int // attempts of this instance that the target had cut when the check ended
 }
 
 // progress is how far the answer of an attempt came.
@@ -70,6 +71,9 @@
 // suspects and waits until the reports of other instances should have arrived.
 func (rq *request) checkCut(a *attempt) {
 	if rq.service.Engine == nil {
+		if a.wasCut() {
+			rq.gateway.opts.State.crashCheckOf(a.target, nil)
+		}
 		return
 	}
 	if errors.Is(a.err, errQuarantined) {
@@ -138,6 +142,7 @@
 	late := check.finished && check.crashed
 	if !late {
 		check.suspects = append(check.suspects, suspects...)
+		check.cut++
 	}
 	check.mu.Unlock()
 	if late && len(suspects) > 0 {
@@ -162,14 +167,14 @@
 	}
 	c.mu.Lock()
 	c.finished, c.crashed = true, crashed
-	suspects := c.suspects
+	suspects, cut := c.suspects, c.cut
 	c.mu.Unlock()
 	if !crashed {
 		return
 	}
 	t.stats.MarkEnded()
 	s.quarantine.crashes.Inc(1)
-	klog.InfoS("target crashed", "target", t.id, "address", t.address, "suspects", partNames(suspects))
+	klog.InfoS("target crashed", "target", t.id, "address", t.address, "cut", cut, "suspects", partNames(suspects))
 	s.quarantine.reportCrash(t, suspects, c.startedAt)
 	_ = sleep.For(context.Background(), crashSettleTime)
 }
--- a/internal/gateway/describe.go
+++ b/internal/gateway/describe.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // attemptLog is an attempt as it is logged. Times are relative to the request's arrival.
 type attemptLog struct {
@@ -55,3 +58,11 @@
 	}
 	return describeParts(rq.partKeys)
 }
+
+// describeIdentity returns the ID of the part that stands for the whole request, for the log line of one that was cut at a target; empty for any other.
+func (rq *request) describeIdentity() string {
+	if rq.identity == nil || !slices.ContainsFunc(rq.attempts, func(a attempt) bool { return a.wasCut() }) {
+		return ""
+	}
+	return rq.identity.get().ID
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,7 @@
 	urgency     int           // rank among the requests of the service, 0 is the most urgent
 	prefix      *prefixLookup // nil for plain services
 	partKeys    []quarantine.Part
+	identity    *requestIdentity  // nil until the body was read
 	probed      bool              // targets were probed for their load
 	probe       []quarantine.Part // suspected parts that this request probes, nil if none
 	probeHolder uint64            // holder of the claim on probe
@@ -147,7 +148,7 @@
 	}
 	ctx, cancel := context.WithDeadline(rq.incoming.Context(), rq.deadline)
 	defer cancel()
-	rq.ctx = ctx
+	rq.ctx, rq.identity = ctx, rq.newIdentity()
 	defer rq.endProbe()
 	rq.tryTargets()
 }
@@ -218,6 +219,6 @@
 		revision = rq.view.revision
 	}
 	klog.InfoS("request", "id", rq.call.ID, "route", route, "workspace", workspace, "outcome", rq.outcome, "status", rq.answer.status, "answer", rq.answer.state.String(), "events", rq.answer.events,
-		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "share", rq.share, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "revision", revision,
+		"took", took, "first", first, "cache", rq.cacheSource, "forecast", rq.forecast, "share", rq.share, "tries", describeAttempts(rq.attempts, rq.arrived), "parts", rq.describePrompt(), "identity", rq.describeIdentity(), "revision", revision,
 		"resumes", rq.call.Resumes, "after", rq.call.LastEventID, "software", rq.pinned, "known_from", rq.pinSource)
 }
