--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -38,6 +38,9 @@
 	// minReportPeriod and reportPeriodPerInstance determine how often evidence is sent again to instances that may have missed it.
 	minReportPeriod         = 2 * time.Second
 	reportPeriodPerInstance = 20 * time.Millisecond
+	// fullRepeatAge is the age up to which evidence without a quarantine is sent in each period; older evidence is sent the more rarely the older it
+	// is. Most requests that an ordinary crash has cut never come again, so that no answer refutes what is suspected of them.
+	fullRepeatAge = 20 * time.Second
 )
 
 // resendDelays are the times after which a message is sent again, since datagrams are lost occasionally.
@@ -408,11 +411,18 @@
 		q.apply(q.tracker.Expire(now))
 		q.forget()
 		forOthers := rand.IntN(instances) == 0
+		quarantined := map[quarantine.Part]bool{}
+		for _, listed := range q.tracker.Quarantines() {
+			for _, p := range listed.Parts {
+				quarantined[p] = true
+			}
+		}
 		for _, crash := range q.tracker.Evidence() {
 			q.mu.Lock()
 			own := q.reported[crash.Incarnation]
 			q.mu.Unlock()
-			if !own && !forOthers {
+			established := slices.ContainsFunc(crash.Suspects, func(s quarantine.Suspect) bool { return quarantined[s.Part] })
+			if !own && !forOthers || !established && rand.N(max(now.Sub(crash.At), 1)) > fullRepeatAge {
 				continue
 			}
 			for _, message := range crash.Report(0, now) {
@@ -491,8 +501,8 @@
 		if record.Lifted() {
 			klog.InfoS("quarantine lifted by an operator", "parts", describeParts(record.Parts))
 			q.apply(q.tracker.Lift(record.Parts, now.Add(-max(now.Sub(time.UnixMilli(record.LiftedMs)), 0)), now))
-		} else if restored := record.Quarantine(now); now.Before(restored.Until) {
-			q.apply(q.tracker.Restore(restored, now))
+		} else if record.Remembered(now) {
+			q.apply(q.tracker.Restore(record.Quarantine(now), now))
 		}
 	}
 	q.mu.Lock()
--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -113,7 +113,7 @@
 		due = append(due, recordChange{key: key, revision: q.restored[key], record: &record, refused: refused})
 	}
 	for key, record := range q.records {
-		if now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention && rand.IntN(instances) == 0 {
+		if now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention && !record.Remembered(now) && rand.IntN(instances) == 0 {
 			due = append(due, recordChange{key: key, revision: q.restored[key]})
 		}
 	}
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -51,8 +51,11 @@
 func (t *Tracker) forget(now time.Time) {
 	b := t.current.Load()
 	t.crashes = slices.DeleteFunc(t.crashes, func(e *evidence) bool {
-		age := now.Sub(e.at)
-		return age >= 2*maxQuarantine || age >= suspicion && !e.supports(b)
+		if age := now.Sub(e.at); age >= suspicion {
+			maps.DeleteFunc(e.suspects, func(p Part, _ mention) bool { return age >= t.keptFor(p, e, b) })
+			return len(e.suspects) == 0
+		}
+		return false
 	})
 	mentioned := t.mentionedParts()
 	maps.DeleteFunc(t.clearedAt, func(p Part, at time.Time) bool { return now.Sub(at) > suspicion && !mentioned[p] })
@@ -60,6 +63,22 @@
 	maps.DeleteFunc(t.claims, func(_ Part, c claim) bool { return !now.Before(c.until) })
 }
 
+// keptFor returns how long after a crash it is kept as evidence against a part.
+func (t *Tracker) keptFor(p Part, e *evidence, b *beliefs) time.Duration {
+	kept := suspicion
+	if p.IsRequest() && t.clearedAt[p].Before(e.at) {
+		kept = requestSuspicion
+	}
+	if b != nil && b.members[p] {
+		for i := range b.quarantines {
+			if q := &b.quarantines[i]; slices.Contains(q.Parts, p) && e.mentionsAll(q.Parts) {
+				kept = max(kept, q.keptFor())
+			}
+		}
+	}
+	return kept
+}
+
 // mentionsAll reports whether all parts are suspects of the crash.
 func (e *evidence) mentionsAll(parts []Part) bool {
 	for _, p := range parts {
@@ -215,7 +234,7 @@
 		}
 	}
 	slices.SortFunc(q.Parts, compareParts)
-	q.Until = q.LastCrash.Add(quarantineLength(q.Crashes))
+	q.Until = q.LastCrash.Add(q.length())
 	return q
 }
 
@@ -223,13 +242,18 @@
 	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.ID, b.ID))
 }
 
-// quarantineLength returns the length of the quarantine after a number of crashes.
+// quarantineLength returns the length of the quarantine of parts of prompts after a number of crashes.
 func quarantineLength(crashes int) time.Duration {
+	return growingLength(crashes, quarantineGrowth, maxQuarantine)
+}
+
+// growingLength returns a length that begins with firstQuarantine and grows with each crash after strongCrashes.
+func growingLength(crashes, growth int, longest time.Duration) time.Duration {
 	length := firstQuarantine
-	for n := strongCrashes; n < crashes && length < maxQuarantine; n++ {
-		length *= quarantineGrowth
+	for n := strongCrashes; n < crashes && length < longest; n++ {
+		length *= time.Duration(growth)
 	}
-	return min(length, maxQuarantine)
+	return min(length, longest)
 }
 
 // compare returns the changes from previous to next. Both may be nil.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,13 +29,19 @@
 	relatedTime      = 2 * time.Second
 	// trust is how long an answer makes later evidence against its parts weak.
 	trust = time.Minute
-	// suspicion is how long a crash is kept as evidence if it leads to no quarantine.
-	suspicion = 10 * time.Minute
+	// suspicion is how long a crash is kept as evidence against parts of prompts if it leads to no quarantine. requestSuspicion is the same
+	// for whole requests: these may come again after hours, and no other request vouches for them meanwhile.
+	suspicion        = 10 * time.Minute
+	requestSuspicion = 24 * time.Hour
 	// firstQuarantine is the length of a part's first quarantine. Each further crash multiplies it by quarantineGrowth, up to
 	// maxQuarantine.
 	firstQuarantine  = 2 * time.Minute
 	quarantineGrowth = 4
 	maxQuarantine    = time.Hour
+	// requestQuarantineGrowth and maxRequestQuarantine are the same for whole requests: a wrong quarantine refuses one caller's single request, and one
+	// that crashes targets for good should crash no more than two after the second quarantine of a day.
+	requestQuarantineGrowth = 30
+	maxRequestQuarantine    = 24 * time.Hour
 	// upgradeDelay is the shortest time between a crash and a probe on weights that are newer than those that crashed.
 	upgradeDelay = 30 * time.Second
 	// claimTTL is how long a probe may take: the time to the first token of a request under load.
@@ -92,6 +98,25 @@
 	return strings.Join(ids, "+")
 }
 
+// ofRequest reports whether only a single request and its repetitions are refused.
+func (q *Quarantine) ofRequest() bool { return slices.ContainsFunc(q.Parts, Part.IsRequest) }
+
+// keptFor returns how long after a crash the evidence is kept that the quarantine rests on.
+func (q *Quarantine) keptFor() time.Duration {
+	if q.ofRequest() {
+		return 2 * maxRequestQuarantine
+	}
+	return 2 * maxQuarantine
+}
+
+// length returns the length of the quarantine.
+func (q *Quarantine) length() time.Duration {
+	if q.ofRequest() {
+		return growingLength(q.Crashes, requestQuarantineGrowth, maxRequestQuarantine)
+	}
+	return quarantineLength(q.Crashes)
+}
+
 // matches reports whether all parts of the quarantine are among those of a request.
 func (q *Quarantine) matches(parts []Part) bool {
 	for _, p := range q.Parts {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -51,8 +51,15 @@
 
 // Quarantine returns the quarantine. The last crash is never later than now, whatever the clock of the instance that wrote the record.
 func (r *Record) Quarantine(now time.Time) Quarantine {
-	age := min(max(time.Duration(now.UnixMilli()-r.LastCrashMs)*time.Millisecond, 0), maxQuarantine)
-	q := Quarantine{Parts: r.Parts, Crashes: r.Crashes, WeightVersion: r.WeightVersion, LastCrash: now.Add(-age)}
-	q.Until = q.LastCrash.Add(quarantineLength(q.Crashes))
+	q := Quarantine{Parts: r.Parts, Crashes: r.Crashes, WeightVersion: r.WeightVersion}
+	age := min(max(time.Duration(now.UnixMilli()-r.LastCrashMs)*time.Millisecond, 0), q.keptFor()/2)
+	q.LastCrash = now.Add(-age)
+	q.Until = q.LastCrash.Add(q.length())
 	return q
 }
+
+// Remembered reports whether the quarantine must still be known: it is in force, or its crashes count if a whole request comes again.
+func (r *Record) Remembered(now time.Time) bool {
+	q := r.Quarantine(now)
+	return now.Before(q.Until) || q.ofRequest() && now.Sub(time.UnixMilli(r.LastCrashMs)) < maxRequestQuarantine
+}
