--- a/internal/gateway/quarantine_record.go
+++ b/internal/gateway/quarantine_record.go
@@ -116,7 +116,7 @@
 		due = append(due, recordChange{key: key, revision: q.restored[key], record: &record, refused: refused})
 	}
 	for key, record := range q.records {
-		expired := now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention
+		expired := now.Sub(time.UnixMilli(record.UntilMs)) > recordRetention && !record.Remembered(now)
 		if (expired || q.isRefuted(&record, current)) && rand.IntN(instances) == 0 {
 			due = append(due, recordChange{key: key, revision: q.restored[key]})
 		}
