--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -27,9 +27,12 @@
 	// serves about that many concurrent loads before each takes longer.
 	defaultLoadShare = 1.0 / 6
 	// defaultMaxLoadShare leaves half of the targets to serve, with those that drain.
-	defaultMaxLoadShare  = 1.0 / 3
-	defaultDrainShare    = 1.0 / 6
-	defaultLoadTime      = 2 * time.Second
+	defaultMaxLoadShare = 1.0 / 3
+	defaultDrainShare   = 1.0 / 6
+	defaultLoadTime     = 2 * time.Second
+	// lateShare is the part of a load, one in lateShare, that may be left when weights expire: without this the last round of a roll-out
+	// that is on time would make all rounds larger.
+	lateShare            = 4
 	defaultMaxDrain      = 1500 * time.Millisecond
 	defaultRetryInterval = 2 * time.Second
 )
@@ -225,7 +228,7 @@
 			inUse += int(max(left-end, 0) / loadTime)
 		}
 		more := max(earlier-inUse, 0)
-		if rounds := int(max(left, 0) / loadTime); rounds > 1 {
+		if rounds := int((max(left, 0) + loadTime/lateShare) / loadTime); rounds > 1 {
 			more = (more + rounds - 1) / rounds
 		}
 		needed = max(needed, len(ends)+more)
