--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -29,7 +29,8 @@
 	// defaultMaxLoadShare leaves half of the targets to serve, with those that drain.
 	defaultMaxLoadShare = 1.0 / 3
 	defaultDrainShare   = 1.0 / 6
-	defaultLoadTime     = 2 * time.Second
+	// defaultLoadTime is rather too short: only the first loads are planned by it, and too many at a time slow each other down.
+	defaultLoadTime = time.Second
 	// lateShare is the part of a load, one in lateShare, that may be left when weights expire: without this the last round of a roll-out
 	// that is on time would make all rounds larger.
 	lateShare            = 4
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -192,7 +192,7 @@
 	for i := range list {
 		list[i].Expiry = epoch.Add(13 * time.Second)
 	}
-	p := New(Options{})
+	p := New(Options{LoadTime: 2 * time.Second})
 	list[0].Busy = true
 	p.Next(list, 2, epoch)
 	list[0].Busy, list[0].Version = false, 2
