--- a/internal/gateway/streamrecord.go
+++ b/internal/gateway/streamrecord.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/streampin"
 )
@@ -50,6 +51,7 @@
 	metrics  *streamMetrics
 	wake     chan struct{} // holds a token while there is something to write
 	failedAt atomic.Pointer[time.Time]
+	clock    func() time.Duration // monotonic time that advances while the machine is suspended
 
 	mu       sync.Mutex
 	pending  []*streamRecord
@@ -71,7 +73,7 @@
 }
 
 func newStreamRecorder(store metastore.Store, m *streamMetrics) *streamRecorder {
-	return &streamRecorder{store: store, metrics: m, wake: make(chan struct{}, 1)}
+	return &streamRecorder{store: store, metrics: m, wake: make(chan struct{}, 1), clock: bootclock.Now}
 }
 
 // isHealthy reports whether no write has failed lately.
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
@@ -34,6 +35,7 @@
 	address string
 	dial    Dial
 	limit   int
+	clock   func() time.Duration // monotonic time that advances while the machine is suspended
 
 	mu     sync.Mutex
 	idle   []*Conn // a stack: the most recently used connection is the last element
@@ -50,7 +52,7 @@
 	if dial == nil {
 		dial = tcp.Dialer(connectTimeout).DialContext
 	}
-	return &Pool{address: address, dial: dial, limit: max(limit, 1)}
+	return &Pool{address: address, dial: dial, limit: max(limit, 1), clock: bootclock.Now}
 }
 
 // SetLimit changes the maximum number of connections. Connections in excess of it are closed when their request ends.
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
 )
@@ -169,3 +170,27 @@
 	}
 	again.discard()
 }
+
+// Guards against requests on connections that the target has closed while the machine was suspended: the time of a suspension counts as
+// idle time.
+func TestIdleConnectionIsNotReusedAfterSuspension(t *testing.T) {
+	p := NewPool(rawhttp.ServeKeepAlive(t, func(*http.Request, int) string { return okResponse }), 2, nil)
+	var suspended time.Duration
+	p.clock = func() time.Duration { return suspended }
+	exchange(t, p, get("/"))
+	suspended = defaultIdleTimeout
+	c, err := p.Get(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.used {
+		t.Error("a connection was used again that was idle for its timeout while the machine was suspended")
+	}
+	c.discard()
+	exchange(t, p, get("/"))
+	suspended += defaultIdleTimeout
+	p.Prune(time.Now())
+	if len(p.idle) != 0 {
+		t.Errorf("%d idle connections kept after a suspension, want none", len(p.idle))
+	}
+}
