targetconn: the time of a suspension counts as idle time of a connection

A machine that was suspended for longer than the idle timeout of its targets sent its next requests on connections that the targets had closed meanwhile, unless the close had already arrived: whether such a request was executed is unknown, so one that must not run twice failed. TestPutBackKeepsIdleSince compares the new type; it is as strict as before.

--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
@@ -202,7 +203,7 @@
 	if limit, ok := keepAliveTimeout(e.Response.Header); ok {
 		e.conn.idleTimeout = limit
 	}
-	e.conn.idleSince = time.Now()
+	e.conn.idleSince = bootclock.At(time.Now(), e.conn.pool.clock())
 	e.conn.release()
 }
 
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -69,7 +69,7 @@
 	limiter     *headLimiter
 	reader      *bufio.Reader // reads from limiter
 	used        bool          // has carried a request
-	idleSince   time.Time
+	idleSince   bootclock.Moment
 	idleTimeout time.Duration
 }
 
@@ -98,7 +98,7 @@
 // Get returns a connection for one request, an idle one if possible. An error means that nothing was sent; it is ErrNoConnection
 // if the limit is reached.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	now := time.Now()
+	now, boot := time.Now(), p.clock()
 	for {
 		c, err := p.popIdleOrReserve()
 		if err != nil {
@@ -107,7 +107,7 @@
 		if c == nil {
 			return p.connect(ctx)
 		}
-		if now.Sub(c.idleSince) < c.idleTimeout && c.reader.Buffered() == 0 && idleAndOpen(c.Conn) {
+		if c.idleSince.Elapsed(now, boot) < c.idleTimeout && c.reader.Buffered() == 0 && idleAndOpen(c.Conn) {
 			return c, nil
 		}
 		c.discard()
@@ -141,7 +141,7 @@
 		return nil, err
 	}
 	limiter := &headLimiter{conn, noLimit}
-	return &Conn{Conn: conn, pool: p, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleSince: time.Now(), idleTimeout: defaultIdleTimeout}, nil
+	return &Conn{Conn: conn, pool: p, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleSince: bootclock.At(time.Now(), p.clock()), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // release returns the connection to the idle stack, or closes it if the pool is closed or over its limit. It keeps idleSince, which
@@ -191,11 +191,12 @@
 
 // Prune closes connections that have reached their idle timeout.
 func (p *Pool) Prune(now time.Time) {
+	boot := p.clock()
 	p.mu.Lock()
 	var expired []*Conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.idleSince) >= c.idleTimeout {
+		if c.idleSince.Elapsed(now, boot) >= c.idleTimeout {
 			expired = append(expired, c)
 		} else {
 			kept = append(kept, c)
--- a/internal/targetconn/targetconn_test.go
+++ b/internal/targetconn/targetconn_test.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again != c || !again.idleSince.Equal(idle) {
+	if again != c || again.idleSince != idle {
 		t.Errorf("idle since %v after it was put back, want %v", again.idleSince, idle)
 	}
 	again.discard()
