gateway: the time of a suspension counts in the age of the lease of streams' records

Records of streams that began after a suspension were put on a lease that ended before their streams: a caller that came back late could then be sent on to another software version.

--- a/internal/gateway/streamrecord.go
+++ b/internal/gateway/streamrecord.go
@@ -58,7 +58,7 @@
 	writes   int           // in progress
 	lifetime time.Duration // longest one of the recorded streams
 	lease    metastore.LeaseID
-	leaseAt  time.Time // when lease was granted
+	leaseAt  bootclock.Moment // when lease was granted
 	granting bool
 }
 
@@ -186,16 +186,17 @@
 // renewLease starts to acquire a new lease if the present one is too old for another record. r.mu must be held.
 func (r *streamRecorder) renewLease(ctx context.Context, now time.Time) {
 	period := r.lifetime / recordLeasesPerLifetime
-	if r.lease != 0 && now.Sub(r.leaseAt) >= 2*period {
+	age := r.leaseAt.Elapsed(now, r.clock())
+	if r.lease != 0 && age >= 2*period {
 		r.lease = 0
 	}
-	if r.granting || r.lease != 0 && now.Sub(r.leaseAt) < period {
+	if r.granting || r.lease != 0 && age < period {
 		return
 	}
 	r.granting = true
 	ttl := r.lifetime + 2*period
 	go func() {
-		grantedAt := time.Now() // before the call: the lease may run from then on
+		grantedAt := bootclock.At(time.Now(), r.clock()) // before the call: the lease may run from then on
 		lease, _, err := r.store.Grant(ctx, ttl)
 		r.mu.Lock()
 		r.granting = false
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -191,8 +191,12 @@
 
 // Prune closes connections that have reached their idle timeout.
 func (p *Pool) Prune(now time.Time) {
-	boot := p.clock()
 	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	boot := p.clock()
 	var expired []*Conn
 	kept := p.idle[:0]
 	for _, c := range p.idle {
