--- a/internal/gateway/streamrecord.go
+++ b/internal/gateway/streamrecord.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/streampin"
 )
@@ -50,13 +51,14 @@
 	metrics  *streamMetrics
 	wake     chan struct{} // holds a token while there is something to write
 	failedAt atomic.Pointer[time.Time]
+	clock    func() time.Duration // monotonic time that advances while the machine is suspended
 
 	mu       sync.Mutex
 	pending  []*streamRecord
 	writes   int           // in progress
 	lifetime time.Duration // longest one of the recorded streams
 	lease    metastore.LeaseID
-	leaseAt  time.Time // when lease was granted
+	leaseAt  bootclock.Moment // when lease was granted
 	granting bool
 }
 
@@ -71,7 +73,7 @@
 }
 
 func newStreamRecorder(store metastore.Store, m *streamMetrics) *streamRecorder {
-	return &streamRecorder{store: store, metrics: m, wake: make(chan struct{}, 1)}
+	return &streamRecorder{store: store, metrics: m, wake: make(chan struct{}, 1), clock: bootclock.Now}
 }
 
 // isHealthy reports whether no write has failed lately.
@@ -184,16 +186,17 @@
 // renewLease starts to acquire a new lease if the present one is too old for another record. r.mu must be held.
 func (r *streamRecorder) renewLease(ctx context.Context, now time.Time) {
 	period := r.lifetime / recordLeasesPerLifetime
-	if r.lease != 0 && now.Sub(r.leaseAt) >= 2*period {
+	age := r.leaseAt.Elapsed(now, r.clock())
+	if r.lease != 0 && age >= 2*period {
 		r.lease = 0
 	}
-	if r.granting || r.lease != 0 && now.Sub(r.leaseAt) < period {
+	if r.granting || r.lease != 0 && age < period {
 		return
 	}
 	r.granting = true
 	ttl := r.lifetime + 2*period
 	go func() {
-		grantedAt := time.Now() // before the call: the lease may run from then on
+		grantedAt := bootclock.At(time.Now(), r.clock()) // before the call: the lease may run from then on
 		lease, _, err := r.store.Grant(ctx, ttl)
 		r.mu.Lock()
 		r.granting = false
