--- a/internal/gateway/describe.go
+++ b/internal/gateway/describe.go
@@ -47,10 +47,10 @@
 	return float64(d.Round(precision)) / float64(time.Millisecond)
 }
 
-// describePrompt returns the IDs of the parts of the prompt for the log line of a request that was not served at its first attempt,
-// empty for any other.
+// describePrompt returns the IDs of the parts of the prompt for the log line of a request that probed parts or was not served at its first
+// attempt, empty for any other.
 func (rq *request) describePrompt() string {
-	if rq.outcome == outcomeAnswered && len(rq.attempts) <= 1 {
+	if rq.outcome == outcomeAnswered && len(rq.attempts) <= 1 && !rq.probeSent {
 		return ""
 	}
 	return describeParts(rq.partKeys)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	probed      bool              // targets were probed for their load
 	probe       []quarantine.Part // suspected parts that this request probes, nil if none
 	probeHolder uint64            // holder of the claim on probe
+	probeSent   bool              // an attempt probed suspected parts
 	fetchedFrom string            // address of the store that the last shared part was fetched from, empty for none
 	forecast    *forecastLog      // nil if none was made
 	share       *shareLog         // share of the workspace; nil if none was computed
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -60,6 +60,7 @@
 	inFlight  sync.Map      // of *inFlightCall: requests at targets whose answers have not begun
 	crashes   tally.Counter // crashed targets that had cut requests of this instance
 	probes    tally.Counter
+	sent      tally.Counter // attempts by requests that probe; the other probes were refused before, for example by admission
 	refusals  tally.Counter // requests refused because of quarantined or suspected parts
 	suspected tally.Gauge   // parts
 	listed    tally.Gauge   // quarantined parts or sets of parts
@@ -90,7 +91,7 @@
 	}
 	return &quarantineService{
 		state: s, tracker: quarantine.NewTracker(time.Now()), self: rand.Uint64() << 16,
-		crashes: m.Counter("target_crashes"), probes: m.Counter("quarantine_probes"), refusals: m.Counter("requests_refused_for_quarantine"),
+		crashes: m.Counter("target_crashes"), probes: m.Counter("quarantine_probes"), sent: m.Counter("quarantine_probes_sent"), refusals: m.Counter("requests_refused_for_quarantine"),
 		suspected: m.Gauge("parts_suspected"), listed: m.Gauge("parts_quarantined"),
 		reported: map[uint64]bool{}, refused: map[string]int{}, restored: map[string]uint64{}, records: map[string]quarantine.Record{}, countedAt: map[string]time.Time{},
 	}
@@ -211,6 +212,10 @@
 		parts: rq.quarantineParts(), weights: rq.view.weights[rq.call.Model], repeatable: rq.route.Repeatable(), probing: rq.probe != nil,
 		begun: &rq.targetBegan, cancel: cancel,
 	}
+	if call.probing {
+		rq.probeSent = true
+		q.sent.Inc(1)
+	}
 	q.inFlight.Store(call, nil)
 	return func() { q.inFlight.Delete(call) }
 }
@@ -440,6 +445,7 @@
 			klog.InfoS("quarantine lifted by an operator", "parts", describeParts(record.Parts))
 			q.apply(q.tracker.Lift(record.Parts, now.Add(-max(now.Sub(time.UnixMilli(record.LiftedMs)), 0)), now))
 		} else if restored := record.Quarantine(now); now.Before(restored.Until) {
+			klog.InfoS("quarantine read from the metadata store", "parts", describeParts(record.Parts), "crashes", record.Crashes, "reported_by", record.ReportedBy)
 			q.apply(q.tracker.Restore(restored, now))
 		}
 	}
