quarantine: keep the evidence of hundreds of deadly requests

Of 200 deadly requests in turn, one crashed six targets: 128 crashes were kept, and none was dropped for a new one if quarantines rested on all.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 )
@@ -13,12 +14,13 @@
 	t.forget(now)
 	next := &beliefs{accused: map[Part]bool{}, suspects: map[Part]bool{}, members: map[Part]bool{}}
 	records := t.collect()
+	t.markExplained(records)
 	for _, r := range records {
 		next.accused[r.part] = true
-		if r.all >= strongCrashes && t.otherCrashes(r, r.crashes, records) == 0 {
+		if r.all >= strongCrashes && t.otherCrashes(r, r.crashes) == 0 {
 			next.suspects[r.part] = true // in all crashes of the time, even if the part was answered shortly before
 		}
-		if next.members[r.part] || !t.sufficient(r, records) || r.explained(records) {
+		if next.members[r.part] || !t.sufficient(r) || r.explained(records) {
 			continue
 		}
 		q := t.quarantineOf(r, records)
@@ -145,12 +147,12 @@
 }
 
 // sufficient reports whether any run of consecutive crashes of the part suffices for a quarantine. Whatever happens later, only an answer
-// refutes that. The records are sorted as collect returns them.
-func (t *Tracker) sufficient(r *record, records []*record) bool {
+// refutes that.
+func (t *Tracker) sufficient(r *record) bool {
 	for first := range r.crashes {
 		for last := first + 1; last < len(r.crashes); last++ {
 			run := r.crashes[first : last+1]
-			if enough(run, t.otherCrashes(r, run, records)) {
+			if enough(run, t.otherCrashes(r, run)) {
 				return true
 			}
 		}
@@ -184,37 +186,51 @@
 
 // otherCrashes returns the number of crashes about the time of a run that the part was not in and that no other part with several
 // crashes may explain.
-func (t *Tracker) otherCrashes(r *record, run []partCrash, records []*record) int {
+func (t *Tracker) otherCrashes(r *record, run []partCrash) int {
 	n, from, to := 0, run[0].at.Add(-relatedTime), run[len(run)-1].at
 	for _, e := range t.crashes {
-		if _, ok := e.suspects[r.part]; ok || e.at.Before(from) || e.at.After(to) {
+		if e.at.Before(from) || e.at.After(to) {
 			continue
 		}
-		if !e.mayBeExplained(records) {
+		if _, ok := e.suspects[r.part]; ok {
+			continue
+		}
+		if !e.explainable {
 			n++
 		}
 	}
 	return n
 }
 
-// mayBeExplained reports whether a suspect of the crash has several crashes.
-func (e *evidence) mayBeExplained(records []*record) bool {
-	for _, r := range records {
-		if r.strong < strongCrashes {
-			return false
-		}
-		if _, ok := e.suspects[r.part]; ok {
-			return true
+// markExplained marks the crashes that have a suspect with several crashes, also with coinciding ones that suffice for a quarantine. The crashes that
+// these explain may let those of another part suffice.
+func (t *Tracker) markExplained(records []*record) {
+	for _, e := range t.crashes {
+		e.explainable = false
+	}
+	explains := map[Part]bool{}
+	for changed := true; changed; {
+		changed = false
+		for _, r := range records {
+			if explains[r.part] || r.strong < strongCrashes && (len(r.crashes) < strongCrashes || !t.sufficient(r)) {
+				continue
+			}
+			explains[r.part], changed = true, true
+			for _, e := range t.crashes {
+				if _, ok := e.suspects[r.part]; ok {
+					e.explainable = true
+				}
+			}
 		}
 	}
-	return false
 }
 
 // explained reports whether another part with more crashes was a suspect in each of these.
 func (r *record) explained(records []*record) bool {
+	stronger := records[:sort.Search(len(records), func(i int) bool { return records[i].strong < max(r.strong, strongCrashes) })]
 	for _, id := range r.mentions {
-		found := slices.ContainsFunc(records, func(other *record) bool {
-			return other.strong >= r.strong && other.all > r.all && other.strong >= strongCrashes &&
+		found := slices.ContainsFunc(stronger, func(other *record) bool {
+			return other.all > r.all &&
 				slices.ContainsFunc(other.mentions, func(o mentionID) bool { return o.crash == id.crash })
 		})
 		if !found {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -48,10 +48,14 @@
 	claimTTL = 3 * time.Second
 	// claimContest is how long a claim may lose against another one: its request has not been sent yet.
 	claimContest = 20 * time.Millisecond
-	// maxCrashes, maxSuspects and maxRequests bound the evidence that is kept: crashes, parts of one crash, and requests with one part.
-	maxCrashes  = 128
-	maxSuspects = 32
+	// maxCrashes, maxSuspects, maxEvidence and maxRequests bound the evidence that is kept: crashes, suspects of one crash and of all, and
+	// requests with one part.
+	maxCrashes  = 512
+	maxSuspects = 128
+	maxEvidence = 4096
 	maxRequests = 8
+	// maxClaims bounds the claims that are remembered.
+	maxClaims = 4096
 	// maxRestored bounds the crashes of a restored quarantine: more do not lengthen it.
 	maxRestored = 6
 )
@@ -197,6 +201,7 @@
 	incarnation uint64
 	at          time.Time
 	suspects    map[Part]mention
+	explainable bool // a suspect has several crashes; set by evaluate
 }
 
 // mention is the evidence of one crash against one part.
@@ -307,7 +312,7 @@
 		if c, ok := t.claims[p]; ok && now.Before(c.until) && (c.holder <= holder || now.Sub(c.since) > claimContest) {
 			continue
 		}
-		if len(t.claims) < maxCrashes*maxSuspects {
+		if len(t.claims) < maxClaims {
 			t.claims[p] = claim{holder: holder, since: now, until: now.Add(claimTTL)}
 		}
 	}
@@ -331,7 +336,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.released, func(_ uint64, at time.Time) bool { return now.Sub(at) > claimTTL })
-	if len(t.released) < maxCrashes*maxSuspects {
+	if len(t.released) < maxClaims {
 		t.released[holder] = now
 	}
 	for _, p := range parts {
@@ -466,8 +471,10 @@
 			return e
 		}
 	}
-	if len(t.crashes) >= maxCrashes && !t.dropOldest(c.At) {
-		return nil
+	for len(t.crashes) >= maxCrashes || t.countEvidence()+min(len(c.Suspects), maxSuspects) > maxEvidence {
+		if !t.dropOldest(c.At) {
+			return nil
+		}
 	}
 	e := &evidence{incarnation: c.Incarnation, at: c.At, suspects: map[Part]mention{}}
 	i, _ := slices.BinarySearchFunc(t.crashes, e, func(a, b *evidence) int {
@@ -477,16 +484,29 @@
 	return e
 }
 
-// dropOldest drops the oldest crash that no quarantine rests on. It returns false if there is none from before the given time.
+// dropOldest drops the oldest crash that no quarantine rests on, or the oldest one of all: what crashes targets now matters more than what did so
+// long ago. It returns false if there is none from before the given time.
 func (t *Tracker) dropOldest(before time.Time) bool {
 	b := t.current.Load()
 	i := slices.IndexFunc(t.crashes, func(e *evidence) bool { return e.at.Before(before) && !e.supports(b) })
+	if i < 0 {
+		i = slices.IndexFunc(t.crashes, func(e *evidence) bool { return e.at.Before(before) })
+	}
 	if i >= 0 {
 		t.crashes = slices.Delete(t.crashes, i, i+1)
 	}
 	return i >= 0
 }
 
+// countEvidence returns the number of suspects of all crashes.
+func (t *Tracker) countEvidence() int {
+	n := 0
+	for _, e := range t.crashes {
+		n += len(e.suspects)
+	}
+	return n
+}
+
 // supports reports whether the crash is evidence for any of the quarantines.
 func (e *evidence) supports(b *beliefs) bool {
 	return b != nil && slices.ContainsFunc(b.quarantines, func(q Quarantine) bool { return e.mentionsAll(q.Parts) })
