--- a/internal/egretctl/quarantines.go
+++ b/internal/egretctl/quarantines.go
@@ -19,7 +19,7 @@
 // quarantineRow is a quarantine as it is listed.
 type quarantineRow struct {
 	Model   string    `json:"model"`
-	Part    string    `json:"part"` // several are joined by +
+	Part    string    `json:"part"` // or "request:" and the hash of a whole request; several are joined by +
 	State   string    `json:"state"`
 	Crashes int       `json:"crashes"`
 	Refused int       `json:"refused"`
@@ -52,9 +52,9 @@
 	if c.output == "json" {
 		return trace.Wrap(json.NewEncoder(c.env.Stdout).Encode(rows))
 	}
-	fmt.Fprintf(c.env.Stdout, "%-16s %-24s %-9s %7s %8s  %s\n", "model", "part", "state", "crashes", "refused", "until")
+	fmt.Fprintf(c.env.Stdout, "%-16s %-40s %-9s %7s %8s  %s\n", "model", "part", "state", "crashes", "refused", "until")
 	for _, r := range rows {
-		fmt.Fprintf(c.env.Stdout, "%-16s %-24s %-9s %7d %8d  %s\n", r.Model, r.Part, r.State, r.Crashes, r.Refused, r.Until.Format(time.RFC3339))
+		fmt.Fprintf(c.env.Stdout, "%-16s %-40s %-9s %7d %8d  %s\n", r.Model, r.Part, r.State, r.Crashes, r.Refused, r.Until.Format(time.RFC3339))
 	}
 	return nil
 }
