--- a/internal/egretctl/quarantines.go
+++ b/internal/egretctl/quarantines.go
@@ -1,6 +1,7 @@
 package egretctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -118,6 +119,7 @@
 	ids := make([]string, len(r.Parts))
 	for i, p := range r.Parts {
 		ids[i] = p.ID
+		model = cmp.Or(model, p.Model) // a whole request has none
 	}
-	return r.Parts[0].Model, strings.Join(ids, "+")
+	return model, strings.Join(ids, "+")
 }
