--- a/internal/quarantine/blame_test.go
+++ b/internal/quarantine/blame_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -26,6 +27,8 @@
 	crashShare   float64       // of the targets that crash in a round
 	crashSpread  time.Duration // time over which the crashes of a round are spread
 	cutGateway   bool          // one gateway exchanges no messages
+	plain        bool          // targets answer when they have run a request; the parts stand for whole requests, subjects for those that many callers send
+	unique       float64       // share of the sound requests that are never sent again, only if plain
 }
 
 // blameResult is the outcome of a scenario.
@@ -141,6 +144,21 @@
 
 func (s *simulated) newRequest() *simRequest {
 	r := &simRequest{gateway: s.rng.IntN(s.gateways), id: s.rng.Uint32()}
+	if s.plain {
+		name := fmt.Sprintf("u%d", s.rng.IntN(s.subjects))
+		switch {
+		case s.now.After(epoch.Add(4*time.Second)) && s.rng.Float64() < s.deadlyShare:
+			r.deadly = fmt.Sprintf("d%d", s.rng.IntN(s.deadly))
+			name = r.deadly
+		case s.rng.Float64() < s.unique:
+			name = fmt.Sprintf("n%d", r.id)
+		}
+		if r.deadly == "" {
+			s.result.sound++
+		}
+		r.parts = []Part{{ID: requestPrefix + name}}
+		return r
+	}
 	r.parts = append(r.parts, part(fmt.Sprintf("s%d", s.rng.IntN(s.systems))))
 	subject := part(fmt.Sprintf("u%d", s.rng.IntN(s.subjects)))
 	if s.now.After(epoch.Add(4*time.Second)) && s.rng.Float64() < s.deadlyShare {
@@ -161,7 +179,7 @@
 	t := s.trackers[r.gateway]
 	for _, q := range t.Quarantines() {
 		for _, p := range q.Parts {
-			if p.ID[0] != 'd' && len(q.Parts) == 1 {
+			if strings.TrimPrefix(p.ID, requestPrefix)[0] != 'd' && len(q.Parts) == 1 {
 				s.blamed[p] = true
 			}
 		}
@@ -232,7 +250,11 @@
 			})
 			return
 		}
-		s.after(time.Duration(100+s.rng.IntN(1500))*time.Millisecond, func() {
+		rest := time.Duration(100+s.rng.IntN(1500)) * time.Millisecond
+		if s.plain {
+			rest = 0
+		}
+		s.after(rest, func() {
 			if t.running[r] && r.target == t {
 				delete(t.running, r)
 				s.answered(r)
@@ -271,11 +293,11 @@
 	reports := make([]Crash, s.gateways)
 	for _, r := range sortRequests(cut) {
 		r.target = nil
-		if r.begunAt.IsZero() {
+		if r.begunAt.IsZero() && !s.plain {
 			continue
 		}
 		for _, p := range r.parts {
-			suspect := Suspect{Part: p, Request: r.id, Weak: at.Sub(r.begunAt) > 100*time.Millisecond}
+			suspect := Suspect{Part: p, Request: r.id, Weak: !s.plain && at.Sub(r.begunAt) > 100*time.Millisecond}
 			if served, ok := s.trackers[r.gateway].LastServed(p, at); ok {
 				suspect.ServedAt = served
 			}
@@ -349,6 +371,13 @@
 	{name: "five deadly parts beside sound subjects", gateways: 12, targets: 60, perSecond: 300, subjects: 1000, systems: 3, deadly: 5, deadlyShare: 0.05, sharedLikely: true},
 	{name: "one deadly part, ordinary crashes", gateways: 5, targets: 18, perSecond: 100, subjects: 400, systems: 1, deadly: 1, deadlyShare: 0.05, sharedLikely: true, crashEvery: 6 * time.Second, crashShare: 0.2, crashSpread: 500 * time.Millisecond},
 	{name: "one deadly part, a gateway cut off", gateways: 5, targets: 18, perSecond: 100, subjects: 400, systems: 1, deadly: 1, deadlyShare: 0.05, sharedLikely: true, cutGateway: true},
+	{name: "plain, ordinary crashes, one in five every 6 s", plain: true, unique: 0.5, gateways: 5, targets: 18, perSecond: 100, subjects: 20, crashEvery: 6 * time.Second, crashShare: 0.2, crashSpread: 500 * time.Millisecond},
+	{name: "plain, a third at once", plain: true, unique: 0.5, gateways: 12, targets: 36, perSecond: 200, subjects: 20, crashEvery: 8 * time.Second, crashShare: 0.33},
+	{name: "plain, rolling crashes, three a second", plain: true, unique: 0.5, gateways: 5, targets: 60, perSecond: 100, subjects: 20, crashEvery: 333 * time.Millisecond, crashShare: 1.0 / 60},
+	{name: "plain, each request new, rolling crashes", plain: true, unique: 1, gateways: 5, targets: 60, perSecond: 100, subjects: 1, crashEvery: 333 * time.Millisecond, crashShare: 1.0 / 60},
+	{name: "plain, one deadly request, four targets", plain: true, unique: 0.5, gateways: 5, targets: 4, perSecond: 60, subjects: 20, deadly: 1, deadlyShare: 0.03},
+	{name: "plain, five deadly requests", plain: true, unique: 0.5, gateways: 12, targets: 60, perSecond: 300, subjects: 50, deadly: 5, deadlyShare: 0.05},
+	{name: "plain, one deadly request, ordinary crashes", plain: true, unique: 0.5, gateways: 5, targets: 18, perSecond: 100, subjects: 20, deadly: 1, deadlyShare: 0.05, crashEvery: 6 * time.Second, crashShare: 0.2, crashSpread: 500 * time.Millisecond},
 	{name: "one deadly part, 60 gateways", gateways: 60, targets: 100, perSecond: 300, subjects: 2000, systems: 3, deadly: 1, deadlyShare: 0.02, sharedLikely: true},
 }
 
