--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -472,7 +472,7 @@
 			}
 			s.targets[t.ID] = newTarget(t, s.connectionLimit(t.Service), s.opts.Dial, s.limits)
 			s.restoreNotices(s.targets[t.ID])
-			klog.InfoS("target appeared", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain, "software", t.Software, "weights", t.Weights, "cold", time.Until(t.ColdUntil),
+			klog.InfoS("target appeared", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain, "software", t.Software, "weights", t.Weights, "cold", time.Until(t.ColdUntil), "leaving", t.Leaving,
 				"metadata", s.metadataRevision)
 			continue
 		}
