--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -43,9 +43,10 @@
 
 // Copy is the state of a mirror, served to peers that can't reach the store.
 type Copy struct {
-	AsOf  uint64
-	Age   time.Duration // time since the store confirmed the state
-	Items []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
+	AsOf   uint64
+	Age    time.Duration // time since the store confirmed the state
+	Steady time.Duration // time before that in which there was no outage during which leases can have expired; zero if unknown
+	Items  []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
 }
 
 // errIncomplete means that an answer of another instance is not complete.
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -373,3 +373,70 @@
 		}
 	})
 }
+
+// Guards against requests to targets that have left (DRAIN): an instance whose own link was full for seconds took the records that had been
+// removed meanwhile for records that expired in an outage of the store, and used the targets for the time of the grace.
+func TestOwnOutageIsNoOutageOfTheStore(t *testing.T) {
+	const outage = 4 * time.Second
+	for name, c := range map[string]struct {
+		steady    time.Duration // time for which another instance has been in touch with the store
+		recovered bool          // records may have expired
+	}{
+		"another instance was in touch":                     {time.Minute, false},
+		"another instance was in touch for a part of it":    {outage / 2, true},
+		"another instance does not tell how long it was in": {0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memory.New()
+				var cut atomic.Bool
+				m, get := startMirror(t, metastore.MirrorOptions{
+					Store: store, FetchPeerCopy: func(_ context.Context, after uint64) (metastore.Copy, error) {
+						if cut.Load() {
+							return metastore.Copy{}, metastore.ErrUnavailable
+						}
+						return metastore.Copy{AsOf: max(after, 1), Age: 100 * time.Millisecond, Steady: c.steady}, nil
+					},
+				})
+				store.Put("a", []byte("1"))
+				get("")
+				cut.Store(true)
+				store.SetFault(func(string) error { return metastore.ErrUnavailable })
+				time.Sleep(outage)
+				// The link to the store is free before that to the other instances.
+				store.SetFault(func(string) error { cut.Store(false); return nil })
+				get("")
+				if recovered := !m.RecoveredAt().IsZero(); recovered != c.recovered {
+					t.Errorf("records may have expired: %v, want %v", recovered, c.recovered)
+				}
+			})
+		})
+	}
+}
+
+// An instance tells for how long it has been in touch with the store without an outage in which records can expire.
+func TestCopyTellsTimeInTouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("a", []byte("1"))
+		m, _ := startMirror(t, metastore.MirrorOptions{Store: store})
+		inTouch := func() time.Duration {
+			c, ok := m.Copy(0)
+			if !ok {
+				t.Fatal("no copy")
+			}
+			return c.Steady + c.Age
+		}
+		time.Sleep(10 * time.Second)
+		if got := inTouch(); got < 9*time.Second || got > 10*time.Second {
+			t.Errorf("in touch for %v after 10 s", got)
+		}
+		store.SetFault(func(string) error { return metastore.ErrUnavailable })
+		time.Sleep(4 * time.Second)
+		store.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		if got := inTouch(); got < time.Second || got > 2*time.Second {
+			t.Errorf("in touch for %v, 2 s after an outage", got)
+		}
+	})
+}
