--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -111,6 +112,7 @@
 	changes     changeLog
 	upstreams   upstreamSelector
 	confirmedAt atomic.Int64 // by Clock, when the state last matched the store; zero: never
+	steadySince atomic.Int64 // by Clock, the first such time after the last outage during which leases can have expired
 	recoveredAt atomic.Pointer[time.Time]
 
 	onlySkipped bool          // the last watch returned nothing but keys that are left out; used by Run only
@@ -130,12 +132,12 @@
 
 // Copy returns the state for a peer that has revision after. It returns false if the mirror has no state yet.
 func (m *Mirror) Copy(after uint64) (Copy, bool) {
-	age, known := m.Age() // read before the state: the age must not be understated
+	confirmedAt := m.confirmedAt.Load() // read before the state: the age must not be understated
 	c := m.published.Load()
-	if c == nil || !known {
+	if c == nil || confirmedAt == 0 {
 		return Copy{}, false
 	}
-	out := Copy{AsOf: c.AsOf, Age: age}
+	out := Copy{AsOf: c.AsOf, Age: m.opts.Clock() - time.Duration(confirmedAt), Steady: time.Duration(max(confirmedAt-m.steadySince.Load(), 0))}
 	if c.AsOf > after {
 		out.Items = c.Items
 	}
@@ -151,7 +153,11 @@
 
 // confirm records that the state matched the store at a time of Clock. It ignores times before the recorded one.
 func (m *Mirror) confirm(at time.Duration) {
-	m.confirmedAt.Store(max(m.confirmedAt.Load(), int64(at)))
+	last := m.confirmedAt.Load()
+	if last == 0 || int64(at)-last >= int64(m.opts.MinExpiryOutage) {
+		m.steadySince.Store(int64(at))
+	}
+	m.confirmedAt.Store(max(last, int64(at)))
 }
 
 // WaitFresh returns once the state is younger than maxAge or the store is known to be unreachable, after maxWait at the latest.
@@ -201,12 +207,38 @@
 	return time.Time{}
 }
 
-// recordRecovery sets the time of recovery if the state is old enough for the failed calls to count as an outage.
-func (m *Mirror) recordRecovery(now time.Time) {
-	if age, known := m.Age(); known && age >= m.opts.MinExpiryOutage {
-		klog.InfoS("records may have expired during the outage", "revision", m.asOf, "age", age)
-		m.recoveredAt.Store(&now)
+// recordRecovery sets the time of recovery if the state is old enough for the failed calls to count as an outage of the store.
+func (m *Mirror) recordRecovery(ctx context.Context) {
+	age, known := m.Age()
+	if !known || age < m.opts.MinExpiryOutage {
+		return
+	}
+	if m.isOutageOwn(ctx) {
+		klog.InfoS("another instance was in touch with the store during the outage", "revision", m.asOf, "age", age)
+		return
+	}
+	klog.InfoS("records may have expired during the outage", "revision", m.asOf, "age", age)
+	now := time.Now()
+	m.recoveredAt.Store(&now)
+}
+
+// isOutageOwn reports whether another instance was in touch with the store for as long as this one was not: records that are missing
+// were then removed and did not expire.
+func (m *Mirror) isOutageOwn(ctx context.Context) bool {
+	if m.opts.FetchPeerCopy == nil {
+		return false
+	}
+	const noItems = math.MaxUint64 // a revision that no instance has
+	c, err := m.opts.FetchPeerCopy(ctx, noItems)
+	if err == nil {
+		err = c.validate(noItems)
+	}
+	if err != nil {
+		klog.InfoS("no other instance tells whether the store was away", "err", err.Error())
+		return false
 	}
+	age, _ := m.Age() // after the call: the answer may have taken long
+	return c.Age+c.Steady >= age
 }
 
 // Run keeps the mirror up to date until ctx ends, and returns the error of ctx.
@@ -274,7 +306,7 @@
 		return fmt.Errorf("%w: revision %d, known %d", errStaleRead, asOf, m.asOf)
 	}
 	if recovering {
-		m.recordRecovery(time.Now()) // before OnChange is called: missing records may have expired
+		m.recordRecovery(ctx) // before OnChange is called: missing records may have expired
 	}
 	m.replace(items, asOf)
 	m.confirm(calledAt)
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -391,11 +391,11 @@
 				store := memory.New()
 				var cut atomic.Bool
 				m, get := startMirror(t, metastore.MirrorOptions{
-					Store: store, FetchPeerCopy: func(_ context.Context, after uint64) (metastore.Copy, error) {
+					Store: store, FetchPeerCopy: func(context.Context, uint64) (metastore.Copy, error) {
 						if cut.Load() {
 							return metastore.Copy{}, metastore.ErrUnavailable
 						}
-						return metastore.Copy{AsOf: max(after, 1), Age: 100 * time.Millisecond, Steady: c.steady}, nil
+						return metastore.Copy{AsOf: 1, Age: 100 * time.Millisecond, Steady: c.steady}, nil
 					},
 				})
 				store.Put("a", []byte("1"))
