--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -115,7 +116,7 @@
 	if v.catalog != rq.view.catalog || !v.isUsable(rq.service.Name, t) {
 		return errStaleChoice
 	}
-	if now := time.Now(); rq.service.Engine != nil && rq.gateway.opts.State.hasExpired(v, t, rq.call.Model, now) {
+	if now := time.Now(); rq.service.Engine != nil && slices.Contains(rq.service.Engine.Models, rq.call.Model) && rq.gateway.opts.State.hasExpired(v, t, rq.call.Model, now) {
 		rq.gateway.opts.State.replaceView(v, now) // otherwise the target might be chosen again
 		return errStaleChoice
 	}
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -19,7 +19,7 @@
 const recordPeriod = 300 * time.Millisecond
 
 // versionCheckPeriod is how often the rollout leader records that all released versions are recorded. A version that is released while no
-// instance runs is taken for at most that much older than it is.
+// instance runs counts as released at the last check: it is taken for older by up to this time and the length of the outage.
 const versionCheckPeriod = 4 * time.Second
 
 // VersionRecorder records in the metadata store when each weight version was first seen, so that instances that start later compute
@@ -72,8 +72,8 @@
 	if !held {
 		return false
 	}
-	age := max(r.State.metadataAge(), 0) // read first: versions that are released from now on are not covered
-	at := time.Now().Add(-age)
+	at := time.Now() // read first: versions that are released from now on are not covered
+	at = at.Add(-max(r.State.metadataAge(), 0))
 	if len(r.State.unrecordedVersions()) > 0 {
 		return false
 	}
--- a/internal/gateway/naming_test.go
+++ b/internal/gateway/naming_test.go
@@ -167,10 +167,11 @@
 		const standstill, rolloutTimeout = 7 * time.Second, 15 * time.Second
 		newest, total := new(atomic.Int64), time.Duration(0)
 		newest.Store(1)
-		confirmedAt := time.Now()
+		clock := func() time.Time { return time.Now().Add(total) } // of the mirror: it counts suspensions
+		confirmedAt := clock()
 		state := NewState(StateOptions{
 			Self: "a", Records: newestRecords{newest}, RecoveredAt: func() time.Time { return time.Time{} }, RetryWindow: time.Second, RolloutTimeout: rolloutTimeout,
-			InitialPrefillRate: 1000, MetadataAge: func() (time.Duration, bool) { return time.Since(confirmedAt), true }, Suspended: func() time.Duration { return total },
+			InitialPrefillRate: 1000, MetadataAge: func() (time.Duration, bool) { return clock().Sub(confirmedAt), true }, Suspended: func() time.Duration { return total },
 		})
 		revision := uint64(0)
 		run := func(d time.Duration) {
@@ -178,7 +179,7 @@
 				state.Tick(time.Now())
 				revision++
 				state.OnChange(map[string]metastore.Item{}, revision)
-				confirmedAt = time.Now()
+				confirmedAt = clock()
 			}
 		}
 		run(2 * time.Second)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -90,11 +90,14 @@
 func (c *RolloutController) requestReports(ctx context.Context, g engineGroup, now time.Time) {
 	inbox, pending := c.inbox, 0
 	for id, t := range g.targets {
-		if _, outOfService := c.loadableAt[id]; !outOfService || t.version(g.model) >= g.newestVersion {
+		if _, outOfService := c.loadableAt[id]; !outOfService {
 			delete(c.missedReports, id)
 			delete(c.newResults, id)
 			continue
 		}
+		if t.version(g.model) >= g.newestVersion {
+			continue // another model of the target may be behind
+		}
 		if m := c.missedReports[id]; m != nil && now.Before(m.retryAt) || t.stats.PauseRemaining(now) > 0 {
 			continue
 		}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -131,7 +131,8 @@
 	loaded           []loadedVersion                    // versions that targets have loaded, ahead of their own records
 	retired          map[string]retirement.Shares       // retired cached parts by model
 	observation      observation
-	recordedVersions map[string]bool // keys of weight versions whose first sighting is recorded in the store
+	releasedAt       map[string]time.Time // wall time of the release of each weight version as first seen, by its key
+	recordedVersions map[string]bool      // keys of weight versions whose first sighting is recorded in the store
 	software         softwareState
 	rolloutLocked    bool // an instance holds the rollout lock
 	timeDependent    bool // the view changes as time passes, without a change of the metadata
@@ -142,7 +143,7 @@
 func NewState(o StateOptions) *State {
 	s := &State{
 		opts: o, notices: newNotices(o.Metrics), limits: newLimitRegistry(), weightsMetrics: newWeightsMetrics(o.Metrics), roster: roster.New(o.Roster), versionHistory: roster.NewWeightVersions(o.RolloutTimeout - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
-		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, forecasts: map[string]*forecast.Service{}, grantStats: map[string]*targetlimit.GrantStats{}, recordedVersions: map[string]bool{},
+		instances: map[string]Instance{}, loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, forecasts: map[string]*forecast.Service{}, grantStats: map[string]*targetlimit.GrantStats{}, recordedVersions: map[string]bool{}, releasedAt: map[string]time.Time{},
 		software: newSoftwareState(),
 	}
 	s.grantService = newGrantService(s, o.Metrics)
@@ -317,7 +318,7 @@
 		return s.recordedVersions[versionKey(observed.Model, observed.Version)]
 	})
 	for i := range all {
-		all[i].FirstSeenMillis -= s.suspended().Milliseconds() // the wall clock counts suspensions, so versionTime counts them twice
+		all[i].FirstSeenMillis = s.releasedAt[versionKey(all[i].Model, all[i].Version)].UnixMilli()
 	}
 	return all
 }
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -38,16 +38,23 @@
 	return s.opts.Suspended()
 }
 
-// maxTickDelay is how late a tick may be before the process counts as having stood still: well above the delays of a busy machine.
-const maxTickDelay = time.Second
+const (
+	// maxTickDelay is how late a tick may be before the process counts as having stood still: well above the delays of a busy machine.
+	maxTickDelay = time.Second
+	// maxResumeTime is how long after its start, or a standstill, a process takes until its first reading of the metadata. If it takes longer the
+	// store was away, and nothing was released meanwhile.
+	maxResumeTime = 3 * time.Second
+)
 
-// observation says since when this instance has seen each change of the metadata soon. Its times are those of versionHistory.
+// observation says since when this instance may have missed changes of the metadata. Its times are those of versionHistory.
 type observation struct {
-	starting  bool      // the process applies its first reading of the metadata
-	lastTick  time.Time // zero before the first tick
-	resumedAt time.Time // start of the process, or end of its last standstill
+	starting    bool      // the process applies its first reading of the metadata
+	lastTick    time.Time // zero before the first tick
+	confirmedAt time.Time // when the metadata seen so far last matched the store; zero: never
+	resumedAt   time.Time // start of the process, or end of its last standstill
 	// missedSince is the time from which changes may have gone unseen until resumedAt, zero if none can have.
 	missedSince time.Time
+	floors      map[string]time.Time // confirmedAt when each version was first seen, by its key
 }
 
 // tick records that the process runs.
@@ -68,6 +75,9 @@
 
 // confirm records that the metadata seen so far matched the store at a time.
 func (o *observation) confirm(at time.Time) {
+	if at.After(o.confirmedAt) {
+		o.confirmedAt = at
+	}
 	if !at.Before(o.resumedAt) {
 		o.missedSince = time.Time{}
 	}
@@ -75,10 +85,34 @@
 
 // age returns how long ago an event that is seen now for the first time may have been.
 func (o *observation) age(now time.Time) time.Duration {
-	if o.missedSince.IsZero() {
+	if o.missedSince.IsZero() || now.Sub(o.resumedAt) > maxResumeTime {
 		return 0
 	}
-	return now.Sub(o.missedSince)
+	return o.limit("", now.Sub(o.missedSince), now)
+}
+
+// limit returns the age of a version, given by its key, that another instance has recorded, but no more than the time since this instance
+// knew that the version was not released.
+func (o *observation) limit(key string, age time.Duration, now time.Time) time.Duration {
+	floor, seen := o.floors[key]
+	if !seen {
+		floor = o.confirmedAt
+	}
+	if floor.IsZero() {
+		return age
+	}
+	return min(age, now.Sub(floor))
+}
+
+// see records that a version, given by its key, has been seen.
+func (o *observation) see(key string) {
+	if _, seen := o.floors[key]; seen {
+		return
+	}
+	if o.floors == nil {
+		o.floors = map[string]time.Time{}
+	}
+	o.floors[key] = o.confirmedAt
 }
 
 // beforeChange updates the observation before a reading of the metadata is applied. s.mu must be held.
@@ -115,7 +149,11 @@
 // observeVersion records that a weight version was released at least age ago, as another instance has recorded in the metadata store. s.mu
 // must be held.
 func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
+	key := versionKey(model, version)
+	age = s.observation.limit(key, age, s.versionTime(now))
+	s.observation.see(key)
 	if s.versionHistory.Observe(model, version, age, s.versionTime(now)) {
+		s.releasedAt[key] = now.Add(-age)
 		klog.InfoS("weight version released", "model", model, "version", version, "age_ms", age.Milliseconds(), "recorded", recorded, "metadata", s.metadataRevision)
 	}
 }
