rollout: targets with the order count as loads, and half of those in force serve

Found by review, with tests that failed before (internal/rollout/capacity_test.go, platform/rolloutpace_test.go): targets that had the order and still finished requests did not count, so that seven of 18 loaded at once; small fleets lost all targets in rotation beside unresponsive ones; a load that never ends kept the only place of a fleet of two or three; between two publications of the rollout state lay 16.5 s at 660 instances.

--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -25,6 +25,8 @@
 	// publishIntervalPerInstance is the time between two publications, per live instance: each publication wakes every instance, and this
 	// limits the load on the metadata store to a few dozen calls per second.
 	publishIntervalPerInstance = 25 * time.Millisecond
+	// maxPublishInterval bounds the time between two publications, so that a roll-out in a large fleet does not last longer than its weights.
+	maxPublishInterval = time.Second
 	// freeDelay is the time from the retirement of cached parts until they are freed in the stores: the maximum age of metadata that
 	// is used for a fetch, the longest fetch, and a margin.
 	freeDelay = MaxMetadataAge + FetchTimeout + time.Second
@@ -227,7 +229,7 @@
 
 // nextPublishTime returns when the rollout state may be published again: each publication wakes every instance.
 func (c *RolloutController) nextPublishTime() time.Time {
-	return c.publishedAt.Add(time.Duration(c.opts.State.instanceCount()) * publishIntervalPerInstance)
+	return c.publishedAt.Add(min(time.Duration(c.opts.State.instanceCount())*publishIntervalPerInstance, maxPublishInterval))
 }
 
 // publish writes the rollout state with the targets that are out to the metadata store, and reports whether it succeeded. The write
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -16,7 +16,7 @@
 	LoadShare     float64       // fraction of the targets that load at once while there is time
 	MaxLoadShare  float64       // fraction of the targets that load at once at most
 	DrainShare    float64       // fraction of the targets that finish their requests meanwhile
-	LoadTime      time.Duration // expected time from the order to load to its end, until the first one is observed
+	LoadTime      time.Duration // expected time from the order until the load has ended, until the first one is observed
 	MaxDrain      time.Duration // time after which a target gets the order to load although requests run; it finishes them first
 	RetryInterval time.Duration // time between two orders to a target that does not load
 }
@@ -26,14 +26,17 @@
 	// defaultLoadShare lets one sixth of the targets load, so five sixths are left to serve or drain. The weight store
 	// serves about that many concurrent loads before each takes longer.
 	defaultLoadShare = 1.0 / 6
-	// defaultMaxLoadShare leaves half of the targets to serve, with those that drain.
+	// defaultMaxLoadShare, with the targets that drain, is half of the targets.
 	defaultMaxLoadShare = 1.0 / 3
 	defaultDrainShare   = 1.0 / 6
 	// defaultLoadTime is rather too short: only the first loads are planned by it, and too many at a time slow each other down.
 	defaultLoadTime = time.Second
 	// lateShare is the part of a load, one in lateShare, that may be left when weights expire: without this the last round of a roll-out
 	// that is on time would make all rounds larger.
-	lateShare            = 4
+	lateShare = 4
+	// A target counts as stuck after stuckLoads times the time that a load takes, and not before minStuckTime.
+	stuckLoads           = 4
+	minStuckTime         = 10 * time.Second
 	defaultMaxDrain      = 1500 * time.Millisecond
 	defaultRetryInterval = 2 * time.Second
 )
@@ -63,8 +66,7 @@
 	version   int       // weight version when it was last seen; zero before that
 	outSince  time.Time // when it was taken out of service
 	orderedAt time.Time // when the last order to load was sent
-	idle      bool      // had no request in flight when last reported
-	loadSince time.Time // when it was ordered to load and had no requests; zero before that
+	loadSince time.Time // when it was ordered to load, or first seen to load; zero before that
 	observed  bool      // seen to load after an order of this plan
 }
 
@@ -72,7 +74,7 @@
 type Plan struct {
 	opts         Options
 	outOfService map[string]*progress // by ID
-	loadTime     time.Duration        // time that a target takes to load; zero if none was observed
+	loadTime     time.Duration        // time from the order until the load has ended; zero if none was observed
 }
 
 // New returns a plan without targets.
@@ -159,31 +161,39 @@
 	if expired := countExpired(old, now); expired > maxDraining {
 		maxDraining = min(expired, max(maxDraining, maxLoads)) // they serve nothing
 	}
-	// Unresponsive targets free their places for others. Only maxDraining places are freed, because all targets may be
-	// unresponsive to the sender of the orders alone.
-	unresponsive := 0
-	for id := range p.outOfService {
-		if byID[id].Unresponsive {
-			unresponsive++
+	// Targets that do not respond or do not get on with their load free their places for others. Only maxDraining places are freed,
+	// because all targets may be unresponsive to the sender of the orders alone.
+	failed := 0
+	for id, pr := range p.outOfService {
+		if byID[id].Unresponsive || p.isStuck(pr, now) {
+			failed++
 		}
 	}
-	p.takeOut(old, superseded, maxLoads+maxDraining+min(unresponsive, maxDraining), now)
+	p.takeOut(old, superseded, maxLoads+maxDraining+min(failed, maxDraining), (len(targets)+1)/2, now)
 	s := p.nextStep(byID, maxLoads, now)
 	s.Behind = len(old)
 	return s
 }
 
+// expired reports whether the weights of the target have expired, so that it serves nothing.
+func (t *Target) expired(now time.Time) bool { return !t.Expiry.IsZero() && !now.Before(t.Expiry) }
+
 // countExpired returns the number of targets whose weights have expired.
 func countExpired(targets []*Target, now time.Time) int {
 	n := 0
 	for _, t := range targets {
-		if !t.Expiry.IsZero() && !now.Before(t.Expiry) {
+		if t.expired(now) {
 			n++
 		}
 	}
 	return n
 }
 
+// isStuck reports whether a target that has the order to load takes so long that it must not hold up others.
+func (p *Plan) isStuck(pr *progress, now time.Time) bool {
+	return pr.phase == loading && now.Sub(pr.loadSince) > max(stuckLoads*cmp.Or(p.loadTime, p.opts.LoadTime), minStuckTime)
+}
+
 // observeLoad records how long a load that has ended took, if its beginning is known. Shorter times than before count at once and longer
 // ones little: a load that others have slowed down must not lead to still more at once.
 func (p *Plan) observeLoad(pr *progress, now time.Time) {
@@ -214,6 +224,7 @@
 			start = 0
 		}
 		switch {
+		case pr != nil && p.isStuck(pr, now):
 		case pr != nil && !pr.loadSince.IsZero():
 			ends = append(ends, max(loadTime-now.Sub(pr.loadSince), 0))
 		case !t.Expiry.IsZero():
@@ -239,7 +250,14 @@
 
 // takeOut takes further targets out of service until maxOut are: first busy ones, since they are loading already, then
 // those on the oldest weights, whose time limit ends first. superseded has the targets that were out of service until now, and since when.
-func (p *Plan) takeOut(old []*Target, superseded map[string]time.Time, maxOut int, now time.Time) {
+// Of the targets whose weights have not expired, not more than maxUnexpired are out of service.
+func (p *Plan) takeOut(old []*Target, superseded map[string]time.Time, maxOut, maxUnexpired int, now time.Time) {
+	unexpired := 0
+	for _, t := range old {
+		if p.outOfService[t.ID] != nil && !t.expired(now) {
+			unexpired++
+		}
+	}
 	slices.SortStableFunc(old, func(a, b *Target) int {
 		if a.Busy != b.Busy {
 			if a.Busy {
@@ -254,6 +272,12 @@
 			return
 		}
 		if p.outOfService[t.ID] == nil {
+			if !t.expired(now) {
+				if unexpired >= maxUnexpired {
+					continue
+				}
+				unexpired++
+			}
 			since, wasOut := superseded[t.ID]
 			if !wasOut {
 				since = now
@@ -277,8 +301,8 @@
 		if !t.Unreported {
 			pr.observe(t, now)
 		}
-		// A target that was ordered to load and still has requests in flight does not use the weight store yet.
-		if pr.phase == loading && pr.idle {
+		// A target that has the order and still finishes its requests counts as well: it begins to load at any time.
+		if pr.phase == loading && !p.isStuck(pr, now) {
 			loads++
 		}
 	}
@@ -308,9 +332,9 @@
 	if t.Busy {
 		pr.phase = loading
 		pr.observed = !pr.orderedAt.IsZero()
-	}
-	if pr.idle = t.Idle; pr.phase == loading && t.Idle && pr.loadSince.IsZero() {
-		pr.loadSince = now
+		if pr.loadSince.IsZero() {
+			pr.loadSince = now
+		}
 	}
 }
 
@@ -341,7 +365,7 @@
 func (p *Plan) LoadOrdered(id string, now time.Time) {
 	if pr := p.outOfService[id]; pr != nil {
 		pr.phase, pr.orderedAt = loading, now
-		if pr.idle && pr.loadSince.IsZero() {
+		if pr.loadSince.IsZero() {
 			pr.loadSince = now
 		}
 	}
