--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -38,6 +38,10 @@
 	// minOutage is the shortest time without confirmation by the store that counts as an outage. It exceeds the age that the
 	// state reaches when one watch fails and the next call succeeds.
 	minOutage = 2 * maxWatchWait
+	// maxOutageQueries is how many other instances are asked after an outage whether they had it too: some may have started since.
+	maxOutageQueries = 4
+	// outageQueryTimeout bounds these calls in all, since the state is not renewed meanwhile.
+	outageQueryTimeout = 500 * time.Millisecond
 	// peerFallbackDelay is how long the store must have been unreachable before a peer's copy is fetched.
 	peerFallbackDelay = 300 * time.Millisecond
 )
@@ -225,20 +229,26 @@
 // isOutageOwn reports whether another instance was in touch with the store for as long as this one was not: records that are missing
 // were then removed and did not expire.
 func (m *Mirror) isOutageOwn(ctx context.Context) bool {
+	const noItems = math.MaxUint64 // a revision that no instance has
 	if m.opts.FetchPeerCopy == nil {
 		return false
 	}
-	const noItems = math.MaxUint64 // a revision that no instance has
-	c, err := m.opts.FetchPeerCopy(ctx, noItems)
-	if err == nil {
-		err = c.validate(noItems)
-	}
-	if err != nil {
-		klog.InfoS("no other instance tells whether the store was away", "err", err.Error())
-		return false
+	ctx, cancel := context.WithTimeout(ctx, outageQueryTimeout)
+	defer cancel()
+	for range maxOutageQueries {
+		c, err := m.opts.FetchPeerCopy(ctx, noItems)
+		if err == nil {
+			err = c.validate(noItems)
+		}
+		if err != nil {
+			klog.InfoS("another instance does not tell whether the store was away", "err", err.Error())
+			continue
+		}
+		if age, _ := m.Age(); c.Age+c.Steady >= age { // the age after the call, which may have taken long
+			return true
+		}
 	}
-	age, _ := m.Age() // after the call: the answer may have taken long
-	return c.Age+c.Steady >= age
+	return false
 }
 
 // Run keeps the mirror up to date until ctx ends, and returns the error of ctx.
--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -407,6 +407,7 @@
 				time.Sleep(outage)
 				// The link to the store is free before that to the other instances.
 				store.SetFault(func(string) error { cut.Store(false); return nil })
+				time.Sleep(time.Second) // longer than the delay of the next call
 				get("")
 				if recovered := !m.RecoveredAt().IsZero(); recovered != c.recovered {
 					t.Errorf("records may have expired: %v, want %v", recovered, c.recovered)
