--- a/internal/metastore/mirror_test.go
+++ b/internal/metastore/mirror_test.go
@@ -443,3 +443,35 @@
 		}
 	})
 }
+
+// Guards against the loss of live targets after an outage of the store: another instance reached the store first, and this one dropped the
+// targets whose records are missing in its copy.
+func TestRecordsMissingInPeerCopyMayHaveExpired(t *testing.T) {
+	const outage = 4 * time.Second
+	for steady, recovered := range map[time.Duration]bool{0: true, time.Minute: false} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memory.New()
+			store.Put("a", []byte("1"))
+			var peerBack atomic.Bool
+			m, get := startMirror(t, metastore.MirrorOptions{
+				Store: store, FetchPeerCopy: func(_ context.Context, after uint64) (metastore.Copy, error) {
+					if !peerBack.Load() {
+						return metastore.Copy{}, metastore.ErrUnavailable
+					}
+					return metastore.Copy{AsOf: after + 1, Items: []metastore.Item{}, Steady: steady}, nil
+				},
+			})
+			get("")
+			store.SetFault(func(string) error { return metastore.ErrUnavailable })
+			time.Sleep(outage)
+			peerBack.Store(true)
+			time.Sleep(time.Second)
+			if get("a") != "" {
+				t.Fatal("copy not used")
+			}
+			if got := !m.RecoveredAt().IsZero(); got != recovered {
+				t.Errorf("the other instance was in touch for %v: records may have expired %v, want %v", steady, got, recovered)
+			}
+		})
+	}
+}
