--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -54,6 +54,9 @@
 	Items  []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
 }
 
+// covers reports whether the peer has been in touch with the store for the given time, so that no leases can have expired in it.
+func (c *Copy) covers(age time.Duration) bool { return c.Age+c.Steady >= age }
+
 // errIncomplete means that an answer of another instance is not complete.
 var errIncomplete = errors.New("incomplete answer of another instance")
 
@@ -221,6 +224,11 @@
 		klog.InfoS("another instance was in touch with the store during the outage", "revision", m.asOf, "age", age)
 		return
 	}
+	m.setRecovered(age)
+}
+
+// setRecovered records that leases can have expired during an outage of the store, which ends now.
+func (m *Mirror) setRecovered(age time.Duration) {
 	klog.InfoS("records may have expired during the outage", "revision", m.asOf, "age", age)
 	now := time.Now()
 	m.recoveredAt.Store(&now)
@@ -244,7 +252,7 @@
 			klog.InfoS("another instance does not tell whether the store was away", "err", err.Error())
 			continue
 		}
-		if age, _ := m.Age(); c.Age+c.Steady >= age { // the age after the call, which may have taken long
+		if age, _ := m.Age(); c.covers(age) { // the age after the call, which may have taken long
 			return true
 		}
 	}
@@ -424,6 +432,9 @@
 	}
 	if c.AsOf > m.asOf {
 		klog.InfoS("state of the metadata store taken from a peer", "revision", c.AsOf, "before", m.asOf)
+		if age, known := m.Age(); known && age >= m.opts.MinExpiryOutage && !c.covers(age) {
+			m.setRecovered(age)
+		}
 		m.replace(c.Items, c.AsOf)
 	}
 	m.confirm(calledAt - c.Age)
