--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -38,6 +38,10 @@
 	// minOutage is the shortest time without confirmation by the store that counts as an outage. It exceeds the age that the
 	// state reaches when one watch fails and the next call succeeds.
 	minOutage = 2 * maxWatchWait
+	// maxOutageQueries is how many other instances are asked after an outage whether they had it too: some may have started since.
+	maxOutageQueries = 4
+	// outageQueryTimeout bounds these calls in all, since the state is not renewed meanwhile.
+	outageQueryTimeout = 500 * time.Millisecond
 	// peerFallbackDelay is how long the store must have been unreachable before a peer's copy is fetched.
 	peerFallbackDelay = 300 * time.Millisecond
 )
@@ -50,6 +54,9 @@
 	Items  []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
 }
 
+// covers reports whether the peer has been in touch with the store for the given time, so that no leases can have expired in it.
+func (c *Copy) covers(age time.Duration) bool { return c.Age+c.Steady >= age }
+
 // errIncomplete means that an answer of another instance is not complete.
 var errIncomplete = errors.New("incomplete answer of another instance")
 
@@ -217,6 +224,11 @@
 		klog.InfoS("another instance was in touch with the store during the outage", "revision", m.asOf, "age", age)
 		return
 	}
+	m.setRecovered(age)
+}
+
+// setRecovered records that leases can have expired during an outage of the store, which ends now.
+func (m *Mirror) setRecovered(age time.Duration) {
 	klog.InfoS("records may have expired during the outage", "revision", m.asOf, "age", age)
 	now := time.Now()
 	m.recoveredAt.Store(&now)
@@ -225,20 +237,26 @@
 // isOutageOwn reports whether another instance was in touch with the store for as long as this one was not: records that are missing
 // were then removed and did not expire.
 func (m *Mirror) isOutageOwn(ctx context.Context) bool {
+	const noItems = math.MaxUint64 // a revision that no instance has
 	if m.opts.FetchPeerCopy == nil {
 		return false
 	}
-	const noItems = math.MaxUint64 // a revision that no instance has
-	c, err := m.opts.FetchPeerCopy(ctx, noItems)
-	if err == nil {
-		err = c.validate(noItems)
-	}
-	if err != nil {
-		klog.InfoS("no other instance tells whether the store was away", "err", err.Error())
-		return false
+	ctx, cancel := context.WithTimeout(ctx, outageQueryTimeout)
+	defer cancel()
+	for range maxOutageQueries {
+		c, err := m.opts.FetchPeerCopy(ctx, noItems)
+		if err == nil {
+			err = c.validate(noItems)
+		}
+		if err != nil {
+			klog.InfoS("another instance does not tell whether the store was away", "err", err.Error())
+			continue
+		}
+		if age, _ := m.Age(); c.covers(age) { // the age after the call, which may have taken long
+			return true
+		}
 	}
-	age, _ := m.Age() // after the call: the answer may have taken long
-	return c.Age+c.Steady >= age
+	return false
 }
 
 // Run keeps the mirror up to date until ctx ends, and returns the error of ctx.
@@ -414,6 +432,9 @@
 	}
 	if c.AsOf > m.asOf {
 		klog.InfoS("state of the metadata store taken from a peer", "revision", c.AsOf, "before", m.asOf)
+		if age, known := m.Age(); known && age >= m.opts.MinExpiryOutage && !c.covers(age) {
+			m.setRecovered(age)
+		}
 		m.replace(c.Items, c.AsOf)
 	}
 	m.confirm(calledAt - c.Age)
