rollout: publish only the versions that present targets have

The list of loaded versions grew with each load during the term of a leader and would in the end exceed the store's limit of a value, so that no target could be taken out of rotation any more.

--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,7 +159,13 @@
 	if v := report.WeightVersions[g.model]; v > rt.Version {
 		rt.Version = v
 		g.targets[rt.ID].learnVersions(report.WeightVersions)
-		c.loaded = append(c.loaded, loadedVersion{Target: rt.ID, Born: g.born[rt.ID], Model: g.model, Version: v})
+		c.recordLoaded(loadedVersion{Target: rt.ID, Born: g.born[rt.ID], Model: g.model, Version: v})
 		klog.InfoS("weights loaded", "target", rt.ID, "model", g.model, "version", v)
 	}
 }
+
+// recordLoaded adds a version to those that are published, in place of the one that the target had before.
+func (c *RolloutController) recordLoaded(l loadedVersion) {
+	c.loaded = slices.DeleteFunc(c.loaded, func(old loadedVersion) bool { return old.Target == l.Target && old.Model == l.Model })
+	c.loaded = append(c.loaded, l)
+}
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -157,7 +157,11 @@
 	now := time.Now()
 	var outOfService []string
 	orders := map[string]pendingOrder{}
+	present := map[string]bool{}
 	for _, g := range c.opts.State.engineGroups() {
+		for id := range g.targets {
+			present[id] = true
+		}
 		key := g.service + "/" + g.model
 		if c.plans[key] == nil {
 			c.plans[key] = c.newPlan(g)
@@ -173,6 +177,7 @@
 			orders[id] = pendingOrder{target: g.targets[id], born: g.born[id], model: g.model, newestVersion: g.newestVersion}
 		}
 	}
+	c.loaded = slices.DeleteFunc(c.loaded, func(l loadedVersion) bool { return !present[l.Target] })
 	slices.Sort(outOfService)
 	if !c.isPublished(outOfService) && !now.Before(c.nextPublishTime()) && !c.publish(ctx, outOfService, token) {
 		return
