--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -242,3 +242,20 @@
 		t.Errorf("orders %v, want t05, the only one on version 1", s.Load)
 	}
 }
+
+// Guards against a roll-out that takes more of the serving targets away because others do not answer: their weights expire whatever is
+// loaded elsewhere.
+func TestUnresponsiveTargetsDoNotHastenOthers(t *testing.T) {
+	list := newTargets(12, 1)
+	p := New(Options{})
+	for i := range list {
+		list[i].Expiry = epoch.Add(13 * time.Second)
+		if i < 4 {
+			list[i].Expiry, list[i].Idle, list[i].Unresponsive = epoch.Add(-time.Second), false, true
+			p.TakeOver(list[i].ID, epoch.Add(-5*time.Second))
+		}
+	}
+	if s := p.Next(list, 2, epoch); len(s.Load) > 2 {
+		t.Errorf("%d loads ordered at once while four targets do not answer, want 2: eight targets have 13 s", len(s.Load))
+	}
+}
