rollout: targets that do not answer do not hasten the loads of the others

A target behind a cut whose weights have expired counted among those that must still load in time, so for as long as it lasted up to a third of all targets loaded at once instead of a sixth, while the service had fewer targets anyway.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -169,11 +169,11 @@
 	return s
 }
 
-// countExpired returns the number of targets whose weights have expired.
+// countExpired returns the number of targets that could load and whose weights have expired.
 func countExpired(targets []*Target, now time.Time) int {
 	n := 0
 	for _, t := range targets {
-		if !t.Expiry.IsZero() && !now.Before(t.Expiry) {
+		if !t.Unresponsive && !t.Expiry.IsZero() && !now.Before(t.Expiry) {
 			n++
 		}
 	}
@@ -194,7 +194,7 @@
 	p.loadTime += (took - p.loadTime) / 8
 }
 
-// maxLoads returns how many of all targets may load at once: enough that each of the old ones has loaded before its weights expire, but
+// maxLoads returns how many of all targets may load at once: enough that each of the old ones that answer has loaded before its weights expire, but
 // not less than LoadShare and, if there are several, not more than MaxLoadShare. Targets whose weights have expired serve nothing while they
 // wait, so they are loaded as fast as MaxLoadShare allows.
 func (p *Plan) maxLoads(old []*Target, all int, now time.Time) int {
@@ -210,6 +210,7 @@
 			start = 0
 		}
 		switch {
+		case t.Unresponsive: // nothing that is loaded sooner helps it
 		case pr != nil && !pr.loadSince.IsZero():
 			ends = append(ends, max(loadTime-now.Sub(pr.loadSince), 0))
 		case !t.Expiry.IsZero():
