--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -108,6 +108,7 @@
 		RecoveredAt:    func() time.Time { return p.mirror.RecoveredAt() },
 		MetadataAge:    func() (time.Duration, bool) { return p.mirror.Age() },
 		WaitFresh:      p.waitFresh,
+		Suspended:      bootclock.NewSuspension().Total,
 		ColdRateFactor: s.ColdRateFactor, ColdRateSlack: s.ColdRateSlack,
 		RetryRatio: s.RetryRatio, RetryFloor: s.RetryFloor, RetryWindow: s.RetryWindow, InitialPrefillRate: initialPrefillRate,
 		RolloutTimeout: s.WeightsDeadline, LastResortTime: s.DrainTimeout - sendMargin, Metrics: scope,
@@ -164,7 +165,7 @@
 	lock := &metastore.Lock{Store: p.store, Key: gateway.RolloutLockKey, Owner: p.settings.Name, TTL: p.settings.LeaseTTL, IsFree: p.state.RolloutLockFree}
 	p.group.add(lock.Run)
 	rollout := gateway.NewRolloutController(gateway.RolloutOptions{Self: p.settings.Name, State: p.state, Store: p.store, Lock: lock, Engines: p.engines, Cache: p.cacheTracker})
-	p.group.add((&gateway.VersionRecorder{State: p.state, Store: p.store}).Run)
+	p.group.add((&gateway.VersionRecorder{State: p.state, Store: p.store, Lock: lock}).Run)
 	p.group.add((&gateway.QuarantineRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add((&gateway.SoftwareRecorder{State: p.state}).Run)
 	p.group.add(p.cacheTracker.Run)
--- a/internal/gateway/describe.go
+++ b/internal/gateway/describe.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // attemptLog is an attempt as it is logged. Times are relative to the request's arrival.
 type attemptLog struct {
@@ -47,11 +50,19 @@
 	return float64(d.Round(precision)) / float64(time.Millisecond)
 }
 
-// describePrompt returns the IDs of the parts of the prompt for the log line of a request that was not served at its first attempt,
-// empty for any other.
+// describePrompt returns the IDs of the parts of the prompt for the log line of a request that probed parts or was not served at its first
+// attempt, empty for any other.
 func (rq *request) describePrompt() string {
-	if rq.outcome == outcomeAnswered && len(rq.attempts) <= 1 {
+	if rq.outcome == outcomeAnswered && len(rq.attempts) <= 1 && !rq.probeSent {
 		return ""
 	}
 	return describeParts(rq.partKeys)
 }
+
+// describeIdentity returns the ID of the part that stands for the whole request, for the log line of one that was cut at a target; empty for any other.
+func (rq *request) describeIdentity() string {
+	if rq.identity == nil || !slices.ContainsFunc(rq.attempts, func(a attempt) bool { return a.wasCut() }) {
+		return ""
+	}
+	return rq.identity.get().ID
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -40,6 +40,7 @@
 	services         map[string]*service
 	weights          map[string]int               // newest weight version by model
 	versionHistory   *roster.WeightVersions       // first sightings and expiries of weight versions
+	versionTime      time.Time                    // when the view was built, as versionHistory counts time
 	retired          map[string]retirement.Shares // cached parts that are no longer fetched or saved, by model
 	instances        int                          // live instances, at least one
 	registered       bool                         // this instance is among them
@@ -73,6 +74,8 @@
 	// MetadataAge returns the time since the items were last confirmed by the metadata store, false if they never were. If it is
 	// nil, the age is unknown.
 	MetadataAge func() (time.Duration, bool)
+	// Suspended returns the total time for which the machine was suspended since the process started. If it is nil, it never was.
+	Suspended func() time.Duration
 	// WaitFresh waits until the items are fresh enough to send requests, or as fresh as they can get. If it is nil, they always
 	// are.
 	WaitFresh      func(ctx context.Context)
@@ -127,7 +130,8 @@
 	loading          map[string]bool                    // targets that are out of rotation to load weights
 	loaded           []loadedVersion                    // versions that targets have loaded, ahead of their own records
 	retired          map[string]retirement.Shares       // retired cached parts by model
-	recordedVersions map[string]bool                    // keys of weight versions whose first sighting is recorded in the store
+	observation      observation
+	recordedVersions map[string]bool // keys of weight versions whose first sighting is recorded in the store
 	software         softwareState
 	rolloutLocked    bool // an instance holds the rollout lock
 	timeDependent    bool // the view changes as time passes, without a change of the metadata
@@ -180,10 +184,25 @@
 	return s.current.Load()
 }
 
-// isUsable reports whether a target is usable for the requests of a service.
+// isUsable reports whether a target may get a new request of a service, as of the time of the view.
 func (v *view) isUsable(service string, t *target) bool {
 	sv := v.services[service]
-	return sv != nil && sv.targets[t.id] == t
+	return sv != nil && sv.targets[t.id] == t && sv.snapshot.Candidate(t.id).Available()
+}
+
+// hasExpired reports whether the weights of a target for a model have expired. The view may have been built before that.
+func (s *State) hasExpired(v *view, t *target, model string, now time.Time) bool {
+	version := t.version(model)
+	return version < v.weights[model] && version < v.versionHistory.MinVersion(model, s.versionTime(now))
+}
+
+// replaceView rebuilds the view if v is still the current one.
+func (s *State) replaceView(v *view, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.Load() == v {
+		s.rebuild(now)
+	}
 }
 
 // Ready reports whether there is a view, so that requests can be routed.
@@ -193,9 +212,10 @@
 func (s *State) OnChange(items map[string]metastore.Item, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	s.beforeChange(now)
 	s.metadataRevision = revision
 	s.snapshot = s.opts.Records.Update(items)
-	now := time.Now()
 	s.readSystemKeys(items, now)
 	s.rebuild(now)
 }
@@ -205,6 +225,7 @@
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observation.tick(s.versionTime(now))
 	if s.snapshot != nil && s.timeDependent {
 		s.rebuild(now)
 	}
@@ -241,6 +262,8 @@
 			}
 		case strings.HasPrefix(key, versionPrefix):
 			s.readVersionRecord(key, item, now)
+		case key == versionCheckKey:
+			s.readVersionCheck(item, now)
 		case key == RolloutStateKey:
 			state, err := decodeRolloutState(item.Value)
 			if err != nil {
@@ -290,9 +313,13 @@
 func (s *State) unrecordedVersions() []roster.ObservedVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(s.versionHistory.All(), func(observed roster.ObservedVersion) bool {
+	all := slices.DeleteFunc(s.versionHistory.All(), func(observed roster.ObservedVersion) bool {
 		return s.recordedVersions[versionKey(observed.Model, observed.Version)]
 	})
+	for i := range all {
+		all[i].FirstSeenMillis -= s.suspended().Milliseconds() // the wall clock counts suspensions, so versionTime counts them twice
+	}
+	return all
 }
 
 // RolloutLockFree reports whether no instance holds the rollout lock. It returns false while no configuration is known.
@@ -341,7 +368,7 @@
 				if t.record.Service == decl.Name && !t.record.Leaving && !t.stats.Leaving() {
 					g.targets[id], g.born[id] = t, t.born
 					if at := s.versionHistory.Expiry(model, t.version(model)); !at.IsZero() {
-						g.expiry[id] = at
+						g.expiry[id] = at.Add(-s.suspended())
 					}
 				}
 			}
@@ -410,9 +437,9 @@
 		s.budgetInstances, s.budgets = v.instances, map[string]*retry.Budget{}
 	}
 	for model, version := range v.weights {
-		s.observeVersion(model, version, 0, false, now)
+		s.observeNewestVersion(model, version, now)
 	}
-	v.versionHistory, v.retired = s.versionHistory.Clone(), s.retired
+	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(now), s.retired
 	v.links = s.storeLinks(v.catalog)
 	hashes := s.instanceHashes()
 	s.software.update(v.catalog, s.softwareVersions(), now)
@@ -554,7 +581,7 @@
 				c.Penalty = oldWeightsPenalty
 				s.timeDependent = true // later its version expires, or its answers show that it has loaded the newest
 			}
-			c.Disabled = c.Disabled || t.version(model) < s.versionHistory.MinVersion(model, now)
+			c.Disabled = c.Disabled || t.version(model) < s.versionHistory.MinVersion(model, v.versionTime)
 		}
 	}
 	if limiter := s.coldLimiter(t, decl, hashes, now); limiter != nil {
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sort"
 	"strings"
 	"time"
 )
@@ -13,12 +14,13 @@
 	t.forget(now)
 	next := &beliefs{accused: map[Part]bool{}, suspects: map[Part]bool{}, members: map[Part]bool{}}
 	records := t.collect()
+	t.markExplained(records)
 	for _, r := range records {
 		next.accused[r.part] = true
-		if r.all >= strongCrashes && t.otherCrashes(r, r.crashes, records) == 0 {
+		if r.all >= strongCrashes && t.otherCrashes(r, r.crashes) == 0 {
 			next.suspects[r.part] = true // in all crashes of the time, even if the part was answered shortly before
 		}
-		if next.members[r.part] || !t.sufficient(r, records) || r.explained(records) {
+		if next.members[r.part] || !t.sufficient(r) || r.explained(records) {
 			continue
 		}
 		q := t.quarantineOf(r, records)
@@ -51,8 +53,11 @@
 func (t *Tracker) forget(now time.Time) {
 	b := t.current.Load()
 	t.crashes = slices.DeleteFunc(t.crashes, func(e *evidence) bool {
-		age := now.Sub(e.at)
-		return age >= 2*maxQuarantine || age >= suspicion && !e.supports(b)
+		if age := now.Sub(e.at); age >= suspicion {
+			maps.DeleteFunc(e.suspects, func(p Part, _ mention) bool { return age >= t.keptFor(p, e, b) })
+			return len(e.suspects) == 0
+		}
+		return false
 	})
 	mentioned := t.mentionedParts()
 	maps.DeleteFunc(t.clearedAt, func(p Part, at time.Time) bool { return now.Sub(at) > suspicion && !mentioned[p] })
@@ -60,6 +65,22 @@
 	maps.DeleteFunc(t.claims, func(_ Part, c claim) bool { return !now.Before(c.until) })
 }
 
+// keptFor returns how long after a crash it is kept as evidence against a part.
+func (t *Tracker) keptFor(p Part, e *evidence, b *beliefs) time.Duration {
+	kept := suspicion
+	if p.IsRequest() && t.clearedAt[p].Before(e.at) {
+		kept = requestSuspicion
+	}
+	if b != nil && b.members[p] {
+		for i := range b.quarantines {
+			if q := &b.quarantines[i]; slices.Contains(q.Parts, p) && e.mentionsAll(q.Parts) {
+				kept = max(kept, q.keptFor())
+			}
+		}
+	}
+	return kept
+}
+
 // mentionsAll reports whether all parts are suspects of the crash.
 func (e *evidence) mentionsAll(parts []Part) bool {
 	for _, p := range parts {
@@ -73,7 +94,7 @@
 // record is the evidence against one part that no answer has refuted.
 type record struct {
 	part     Part
-	mentions []mentionID
+	mentions []mentionID // by crash, then by request
 	crashes  []partCrash // by time
 	// strong and all count crashes with strong and with any evidence, coinciding ones once.
 	strong, all int
@@ -126,12 +147,12 @@
 }
 
 // sufficient reports whether any run of consecutive crashes of the part suffices for a quarantine. Whatever happens later, only an answer
-// refutes that. The records are sorted as collect returns them.
-func (t *Tracker) sufficient(r *record, records []*record) bool {
+// refutes that.
+func (t *Tracker) sufficient(r *record) bool {
 	for first := range r.crashes {
 		for last := first + 1; last < len(r.crashes); last++ {
 			run := r.crashes[first : last+1]
-			if enough(run, t.otherCrashes(r, run, records)) {
+			if enough(run, t.otherCrashes(r, run)) {
 				return true
 			}
 		}
@@ -165,46 +186,74 @@
 
 // otherCrashes returns the number of crashes about the time of a run that the part was not in and that no other part with several
 // crashes may explain.
-func (t *Tracker) otherCrashes(r *record, run []partCrash, records []*record) int {
+func (t *Tracker) otherCrashes(r *record, run []partCrash) int {
 	n, from, to := 0, run[0].at.Add(-relatedTime), run[len(run)-1].at
 	for _, e := range t.crashes {
-		if _, ok := e.suspects[r.part]; ok || e.at.Before(from) || e.at.After(to) {
+		if e.at.Before(from) || e.at.After(to) {
 			continue
 		}
-		if !e.mayBeExplained(records) {
+		if _, ok := e.suspects[r.part]; ok {
+			continue
+		}
+		if !e.explainable {
 			n++
 		}
 	}
 	return n
 }
 
-// mayBeExplained reports whether a suspect of the crash has several crashes.
-func (e *evidence) mayBeExplained(records []*record) bool {
-	for _, r := range records {
-		if r.strong < strongCrashes {
-			return false
-		}
-		if _, ok := e.suspects[r.part]; ok {
-			return true
+// markExplained marks the crashes that have a suspect with several crashes, also with coinciding ones that suffice for a quarantine. The crashes that
+// these explain may let those of another part suffice.
+func (t *Tracker) markExplained(records []*record) {
+	for _, e := range t.crashes {
+		e.explainable = false
+	}
+	explains := map[Part]bool{}
+	for changed := true; changed; {
+		changed = false
+		for _, r := range records {
+			if explains[r.part] || r.strong < strongCrashes && (len(r.crashes) < strongCrashes || !t.sufficient(r)) {
+				continue
+			}
+			explains[r.part], changed = true, true
+			for _, e := range t.crashes {
+				if _, ok := e.suspects[r.part]; ok {
+					e.explainable = true
+				}
+			}
 		}
 	}
-	return false
 }
 
 // explained reports whether another part with more crashes was a suspect in each of these.
 func (r *record) explained(records []*record) bool {
+	stronger := records[:sort.Search(len(records), func(i int) bool { return records[i].strong < max(r.strong, strongCrashes) })]
 	for _, id := range r.mentions {
-		found := slices.ContainsFunc(records, func(other *record) bool {
-			return other.strong >= r.strong && other.all > r.all && other.strong >= strongCrashes &&
+		found := slices.ContainsFunc(stronger, func(other *record) bool {
+			return other.all > r.all &&
 				slices.ContainsFunc(other.mentions, func(o mentionID) bool { return o.crash == id.crash })
 		})
 		if !found {
-			return false
+			return slices.ContainsFunc(records, r.impliedBy)
 		}
 	}
 	return true
 }
 
+// impliedBy reports whether the part was never without the other one in a request of a crash, and the other one has further crashes. It counts
+// coinciding crashes apart: the crashes of quarantines restored from records of one time coincide.
+func (r *record) impliedBy(other *record) bool {
+	if other.strong < max(r.strong, strongCrashes) || len(other.crashes) <= len(r.crashes) {
+		return false
+	}
+	return !slices.ContainsFunc(r.mentions, func(id mentionID) bool {
+		_, found := slices.BinarySearchFunc(other.mentions, id, func(a, b mentionID) int {
+			return cmp.Or(cmp.Compare(a.crash, b.crash), cmp.Compare(a.request, b.request))
+		})
+		return !found
+	})
+}
+
 // quarantineOf returns the quarantine of a part and of those that were in just the same requests of all crashes.
 func (t *Tracker) quarantineOf(r *record, records []*record) Quarantine {
 	q := Quarantine{Crashes: max(r.all, strongCrashes), LastCrash: r.crashes[len(r.crashes)-1].at}
@@ -215,7 +264,7 @@
 		}
 	}
 	slices.SortFunc(q.Parts, compareParts)
-	q.Until = q.LastCrash.Add(quarantineLength(q.Crashes))
+	q.Until = q.LastCrash.Add(q.length())
 	return q
 }
 
@@ -223,13 +272,18 @@
 	return cmp.Or(strings.Compare(a.Model, b.Model), strings.Compare(a.ID, b.ID))
 }
 
-// quarantineLength returns the length of the quarantine after a number of crashes.
+// quarantineLength returns the length of the quarantine of parts of prompts after a number of crashes.
 func quarantineLength(crashes int) time.Duration {
+	return growingLength(crashes, quarantineGrowth, maxQuarantine)
+}
+
+// growingLength returns a length that begins with firstQuarantine and grows with each crash after strongCrashes.
+func growingLength(crashes, growth int, longest time.Duration) time.Duration {
 	length := firstQuarantine
-	for n := strongCrashes; n < crashes && length < maxQuarantine; n++ {
-		length *= quarantineGrowth
+	for n := strongCrashes; n < crashes && length < longest; n++ {
+		length *= time.Duration(growth)
 	}
-	return min(length, maxQuarantine)
+	return min(length, longest)
 }
 
 // compare returns the changes from previous to next. Both may be nil.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,23 +29,33 @@
 	relatedTime      = 2 * time.Second
 	// trust is how long an answer makes later evidence against its parts weak.
 	trust = time.Minute
-	// suspicion is how long a crash is kept as evidence if it leads to no quarantine.
-	suspicion = 10 * time.Minute
+	// suspicion is how long a crash is kept as evidence against parts of prompts if it leads to no quarantine. requestSuspicion is the same
+	// for whole requests: these may come again after hours, and no other request vouches for them meanwhile.
+	suspicion        = 10 * time.Minute
+	requestSuspicion = 24 * time.Hour
 	// firstQuarantine is the length of a part's first quarantine. Each further crash multiplies it by quarantineGrowth, up to
 	// maxQuarantine.
 	firstQuarantine  = 2 * time.Minute
 	quarantineGrowth = 4
 	maxQuarantine    = time.Hour
+	// requestQuarantineGrowth and maxRequestQuarantine are the same for whole requests: a wrong quarantine refuses one caller's single request, and one
+	// that crashes targets for good should crash no more than two after the second quarantine of a day.
+	requestQuarantineGrowth = 30
+	maxRequestQuarantine    = 24 * time.Hour
 	// upgradeDelay is the shortest time between a crash and a probe on weights that are newer than those that crashed.
 	upgradeDelay = 30 * time.Second
 	// claimTTL is how long a probe may take: the time to the first token of a request under load.
 	claimTTL = 3 * time.Second
 	// claimContest is how long a claim may lose against another one: its request has not been sent yet.
 	claimContest = 20 * time.Millisecond
-	// maxCrashes, maxSuspects and maxRequests bound the evidence that is kept: crashes, parts of one crash, and requests with one part.
-	maxCrashes  = 128
-	maxSuspects = 32
+	// maxCrashes, maxSuspects, maxEvidence and maxRequests bound the evidence that is kept: crashes, suspects of one crash and of all, and
+	// requests with one part.
+	maxCrashes  = 512
+	maxSuspects = 128
+	maxEvidence = 4096
 	maxRequests = 8
+	// maxClaims bounds the claims that are remembered.
+	maxClaims = 4096
 	// maxRestored bounds the crashes of a restored quarantine: more do not lengthen it.
 	maxRestored = 6
 )
@@ -92,6 +102,25 @@
 	return strings.Join(ids, "+")
 }
 
+// ofRequest reports whether only a single request and its repetitions are refused.
+func (q *Quarantine) ofRequest() bool { return slices.ContainsFunc(q.Parts, Part.IsRequest) }
+
+// keptFor returns how long after a crash the evidence is kept that the quarantine rests on.
+func (q *Quarantine) keptFor() time.Duration {
+	if q.ofRequest() {
+		return 2 * maxRequestQuarantine
+	}
+	return 2 * maxQuarantine
+}
+
+// length returns the length of the quarantine.
+func (q *Quarantine) length() time.Duration {
+	if q.ofRequest() {
+		return growingLength(q.Crashes, requestQuarantineGrowth, maxRequestQuarantine)
+	}
+	return quarantineLength(q.Crashes)
+}
+
 // matches reports whether all parts of the quarantine are among those of a request.
 func (q *Quarantine) matches(parts []Part) bool {
 	for _, p := range q.Parts {
@@ -172,6 +201,7 @@
 	incarnation uint64
 	at          time.Time
 	suspects    map[Part]mention
+	explainable bool // a suspect has several crashes; set by evaluate
 }
 
 // mention is the evidence of one crash against one part.
@@ -210,6 +240,9 @@
 	return t.changed
 }
 
+// HasEvidence reports whether there is any evidence that no answer has refuted. Without it all requests may run.
+func (t *Tracker) HasEvidence() bool { return t.current.Load() != nil }
+
 // Check decides on a request with the given parts. weights is the newest weight version of its model.
 func (t *Tracker) Check(parts []Part, weights int, now time.Time) Decision {
 	b := t.current.Load()
@@ -279,7 +312,7 @@
 		if c, ok := t.claims[p]; ok && now.Before(c.until) && (c.holder <= holder || now.Sub(c.since) > claimContest) {
 			continue
 		}
-		if len(t.claims) < maxCrashes*maxSuspects {
+		if len(t.claims) < maxClaims {
 			t.claims[p] = claim{holder: holder, since: now, until: now.Add(claimTTL)}
 		}
 	}
@@ -303,7 +336,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.released, func(_ uint64, at time.Time) bool { return now.Sub(at) > claimTTL })
-	if len(t.released) < maxCrashes*maxSuspects {
+	if len(t.released) < maxClaims {
 		t.released[holder] = now
 	}
 	for _, p := range parts {
@@ -419,6 +452,18 @@
 	return answered, t.evaluate(now)
 }
 
+// CrashedAt returns when an incarnation of a target crashed as far as is known, false if it is not known to have crashed.
+func (t *Tracker) CrashedAt(incarnation uint64) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.crashes {
+		if e.incarnation == incarnation {
+			return e.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // findOrAdd returns the evidence of a crash, nil if it is too old.
 func (t *Tracker) findOrAdd(c Crash) *evidence {
 	for _, e := range t.crashes {
@@ -426,8 +471,10 @@
 			return e
 		}
 	}
-	if len(t.crashes) >= maxCrashes && !t.dropOldest(c.At) {
-		return nil
+	for len(t.crashes) >= maxCrashes || t.countEvidence()+min(len(c.Suspects), maxSuspects) > maxEvidence {
+		if !t.dropOldest(c.At) {
+			return nil
+		}
 	}
 	e := &evidence{incarnation: c.Incarnation, at: c.At, suspects: map[Part]mention{}}
 	i, _ := slices.BinarySearchFunc(t.crashes, e, func(a, b *evidence) int {
@@ -437,16 +484,29 @@
 	return e
 }
 
-// dropOldest drops the oldest crash that no quarantine rests on. It returns false if there is none from before the given time.
+// dropOldest drops the oldest crash that no quarantine rests on, or the oldest one of all: what crashes targets now matters more than what did so
+// long ago. It returns false if there is none from before the given time.
 func (t *Tracker) dropOldest(before time.Time) bool {
 	b := t.current.Load()
 	i := slices.IndexFunc(t.crashes, func(e *evidence) bool { return e.at.Before(before) && !e.supports(b) })
+	if i < 0 {
+		i = slices.IndexFunc(t.crashes, func(e *evidence) bool { return e.at.Before(before) })
+	}
 	if i >= 0 {
 		t.crashes = slices.Delete(t.crashes, i, i+1)
 	}
 	return i >= 0
 }
 
+// countEvidence returns the number of suspects of all crashes.
+func (t *Tracker) countEvidence() int {
+	n := 0
+	for _, e := range t.crashes {
+		n += len(e.suspects)
+	}
+	return n
+}
+
 // supports reports whether the crash is evidence for any of the quarantines.
 func (e *evidence) supports(b *beliefs) bool {
 	return b != nil && slices.ContainsFunc(b.quarantines, func(q Quarantine) bool { return e.mentionsAll(q.Parts) })
@@ -506,6 +566,19 @@
 	return nil
 }
 
+// Refuted reports whether one of the parts was answered after the last known crash of all of them: a quarantine of these parts is no longer
+// justified.
+func (t *Tracker) Refuted(parts []Part) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range slices.Backward(t.crashes) {
+		if e.mentionsAll(parts) {
+			return slices.ContainsFunc(parts, func(p Part) bool { return !t.clearedAt[p].Before(e.at) })
+		}
+	}
+	return false
+}
+
 // SuspectCount returns the number of suspected parts.
 func (t *Tracker) SuspectCount() int {
 	if b := t.current.Load(); b != nil {
