--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -38,10 +38,10 @@
 	firstQuarantine  = 2 * time.Minute
 	quarantineGrowth = 4
 	maxQuarantine    = time.Hour
-	// requestQuarantineGrowth and maxRequestQuarantine are the same for whole requests: a wrong quarantine refuses one caller's single request, and one
-	// that crashes targets for good should crash no more than two after the second quarantine of a day.
+	// requestQuarantineGrowth and maxRequestQuarantine are the same for whole requests: 2 min, 1 h, 30 h, then the longest. A wrong quarantine refuses
+	// one caller's single request, and one that crashes targets for good may crash no more than six in all.
 	requestQuarantineGrowth = 30
-	maxRequestQuarantine    = 24 * time.Hour
+	maxRequestQuarantine    = 30 * 24 * time.Hour
 	// upgradeDelay is the shortest time between a crash and a probe on weights that are newer than those that crashed.
 	upgradeDelay = 30 * time.Second
 	// claimTTL is how long a probe may take: the time to the first token of a request under load.
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -46,9 +46,11 @@
 
 // Guards against requests that are forgotten between the moments at which they come: each time they would crash further targets.
 func TestDeadlyRequestAtDistantMoments(t *testing.T) {
-	for _, pause := range []time.Duration{time.Second, 3 * time.Minute, 11 * time.Minute, 15 * time.Minute, 90 * time.Minute, 3 * time.Hour, 20 * time.Hour} {
-		if got := comesAgain(NewTracker(epoch), "x", epoch, pause, int(23*time.Hour/pause)+1); got > 6 {
-			t.Errorf("%d crashes by a request that comes every %v within a day, want at most six", got, pause)
+	for pause, length := range map[time.Duration]time.Duration{
+		time.Second: 10 * time.Hour, 3 * time.Minute: 120 * time.Hour, 11 * time.Minute: 120 * time.Hour, 90 * time.Minute: 120 * time.Hour, 20 * time.Hour: 600 * time.Hour,
+	} {
+		if got := comesAgain(NewTracker(epoch), "x", epoch, pause, int(length/pause)); got > 6 {
+			t.Errorf("%d crashes in %v by a request that comes every %v, want at most six", got, length, pause)
 		}
 	}
 }
@@ -76,3 +78,28 @@
 		t.Errorf("a request of %d crashed %d targets, want at most 4; %d crashes kept", requests, most, len(tracker.crashes))
 	}
 }
+
+// Guards against crashes that stop counting when every gateway was replaced after a quarantine had run out: the next two would be the first ones again.
+func TestRecordOfRequestCountsAfterItHasRunOut(t *testing.T) {
+	request := RequestPart("GET", "h", "/", "", nil)
+	for _, c := range []struct {
+		part Part
+		want bool
+	}{{request, true}, {part("x"), false}} {
+		record := NewRecord(Quarantine{Parts: []Part{c.part}, Crashes: 2, LastCrash: epoch, Until: epoch.Add(firstQuarantine)}, "i1")
+		if got := record.Remembered(epoch.Add(time.Hour)); got != c.want {
+			t.Errorf("record of %v is remembered: %v", c.part, got)
+		}
+	}
+	now := epoch.Add(time.Hour)
+	record := NewRecord(Quarantine{Parts: []Part{request}, Crashes: 2, LastCrash: epoch}, "i1")
+	tracker := NewTracker(now)
+	tracker.Restore(record.Quarantine(now), now)
+	if got := tracker.Check([]Part{request}, 0, now).Verdict; got != Probe {
+		t.Errorf("verdict %d after the quarantine has run out, want a probe", got)
+	}
+	tracker.LearnCrash(Crash{Incarnation: 9, At: now, Suspects: []Suspect{{Part: request, Request: 9}}}, 0, now)
+	if list := tracker.Quarantines(); len(list) != 1 || list[0].Crashes != 3 {
+		t.Errorf("quarantines %v after a third crash, want one of three", list)
+	}
+}
