quarantine: tell a request's quick second crash from a coinciding one

A model request without parts crashed five engines in one run of TestDeadlyRequestCrashesFewTargets: its second crash came 91 ms after the first and counted as the same one. Two crashes of a whole request coincide within 40 ms now. An attempt at a plain target that is cut within 5 ms is weak evidence: its connection may have ended before (a sound request was quarantined in TestOrdinaryCrashesBlameNoRequest).

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -31,6 +31,9 @@
 	recallCheckDelay = 200 * time.Millisecond
 	// answerBeginTime is how long after its first event an answer counts as begun just now.
 	answerBeginTime = 100 * time.Millisecond
+	// minRunTime is the time from the send to the cut below which a plain target may have crashed before the request arrived, on a connection
+	// not yet known to have ended: a round trip between regions close by.
+	minRunTime = 5 * time.Millisecond
 )
 
 // crashCheck tests whether a target has crashed after it has cut requests, and collects their parts.
@@ -111,6 +114,9 @@
 		return nil
 	}
 	request, weak := uint32(requestHash(rq.call.ID)), !begun.IsZero() && now.Sub(begun) > answerBeginTime
+	if rq.service.Engine == nil && now.Sub(a.sent) < minRunTime {
+		weak = true
+	}
 	tracker := rq.gateway.opts.State.quarantine.tracker
 	suspectOf := func(p quarantine.Part) (suspect quarantine.Suspect, sound bool) {
 		servedAt, served := tracker.LastServed(p, now)
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -131,7 +131,7 @@
 		}
 	}
 	for _, r := range byPart {
-		r.strong, r.all = countCrashes(r.crashes, true)
+		r.strong, r.all = r.countCrashes(r.crashes, true)
 	}
 	return slices.SortedFunc(maps.Values(byPart), func(a, b *record) int {
 		return cmp.Or(cmp.Compare(b.strong, a.strong), cmp.Compare(b.all, a.all), compareParts(a.part, b.part))
@@ -152,7 +152,7 @@
 	for first := range r.crashes {
 		for last := first + 1; last < len(r.crashes); last++ {
 			run := r.crashes[first : last+1]
-			if enough(run, t.otherCrashes(r, run)) {
+			if r.enough(run, t.otherCrashes(r, run)) {
 				return true
 			}
 		}
@@ -160,10 +160,10 @@
 	return false
 }
 
-// enough reports whether a run of crashes of a part suffices for a quarantine. others is the number of crashes at the time that the part
+// enough reports whether a run of crashes of the part suffices for a quarantine. others is the number of crashes at the time that the part
 // has nothing to do with: the more there are, the likelier the part was there by chance.
-func enough(run []partCrash, others int) bool {
-	strong, all := countCrashes(run, others > 0)
+func (r *record) enough(run []partCrash, others int) bool {
+	strong, all := r.countCrashes(run, others > 0)
 	if others >= unrelatedCrashes {
 		return strong > strongCrashes || all > anyCrashes
 	}
@@ -171,13 +171,17 @@
 }
 
 // countCrashes counts the crashes with strong and with any evidence, coinciding ones once; strong ones each if mergeStrong is not set.
-func countCrashes(run []partCrash, mergeStrong bool) (strong, all int) {
+func (r *record) countCrashes(run []partCrash, mergeStrong bool) (strong, all int) {
 	var lastStrong, last time.Time
+	window := coincidence
+	if r.part.IsRequest() {
+		window = requestCoincidence
+	}
 	for _, c := range run {
-		if all == 0 || c.at.Sub(last) > coincidence {
+		if all == 0 || c.at.Sub(last) > window {
 			all, last = all+1, c.at
 		}
-		if !c.weak && (strong == 0 || !mergeStrong || c.at.Sub(lastStrong) > coincidence) {
+		if !c.weak && (strong == 0 || !mergeStrong || c.at.Sub(lastStrong) > window) {
 			strong, lastStrong = strong+1, c.at
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -23,6 +23,9 @@
 	// coincidence is the time within which several crashes count as one. Targets that crash together, such as those of a failure
 	// domain, have a common cause outside their requests.
 	coincidence = 100 * time.Millisecond
+	// requestCoincidence is the same for a whole request: a probe of it can crash its target that soon after the crash before, and a request that is cut
+	// twice by chance is rare.
+	requestCoincidence = 40 * time.Millisecond
 	// unrelatedCrashes is the number of crashes without a part, from relatedTime before its first crash to its last one, from which one
 	// more crash is needed for its quarantine.
 	unrelatedCrashes = 3
