--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -228,3 +229,59 @@
 	}
 	klog.InfoS("weight roll-out", "service", g.service, "model", g.model, "version", g.newestVersion, "targets", len(g.targets), "behind", step.Behind, "out", list)
 }
+
+// engineGroup is the set of targets of one service, for the rollout of the newest weight version of one model.
+type engineGroup struct {
+	service, model string
+	newestVersion  int
+	targets        map[string]*target   // by ID
+	born           map[string]int64     // start of each target's process in Unix milliseconds, by ID
+	expiry         map[string]time.Time // when the weights of a target expire, by ID; absent if they do not
+}
+
+// engineGroups returns the groups for which a weight version was released, without leaving targets, sorted by service and model.
+func (s *State) engineGroups() []engineGroup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot == nil || s.snapshot.Catalog == nil {
+		return nil
+	}
+	var groups []engineGroup
+	for _, decl := range s.snapshot.Catalog.Services {
+		if decl.Engine == nil {
+			continue
+		}
+		for _, model := range decl.Engine.Models {
+			g := engineGroup{service: decl.Name, model: model, newestVersion: s.snapshot.Weights[model], targets: map[string]*target{}, born: map[string]int64{}, expiry: map[string]time.Time{}}
+			if g.newestVersion == 0 {
+				continue
+			}
+			for id, t := range s.targets {
+				if t.record.Service == decl.Name && !t.record.Leaving && !t.stats.Leaving() {
+					g.targets[id], g.born[id] = t, t.born
+					if at := s.versionHistory.Expiry(model, t.version(model)); !at.IsZero() {
+						g.expiry[id] = at.Add(-s.suspended())
+					}
+				}
+			}
+			groups = append(groups, g)
+		}
+	}
+	slices.SortFunc(groups, func(a, b engineGroup) int { return strings.Compare(a.service+"/"+a.model, b.service+"/"+b.model) })
+	return groups
+}
+
+// hasExpired reports whether the weights of a target for a model have expired. The view may have been built before that.
+func (s *State) hasExpired(v *view, t *target, model string, now time.Time) bool {
+	version := t.version(model)
+	return version < v.weights[model] && version < v.versionHistory.MinVersion(model, s.versionTime(now))
+}
+
+// replaceView rebuilds the view if v is still the current one.
+func (s *State) replaceView(v *view, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current.Load() == v {
+		s.rebuild(now)
+	}
+}
