--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -147,8 +147,8 @@
 	s.observation.resume(s.versionTime(now).Add(-age), s.versionTime(now))
 }
 
-// observeVersion records that a weight version was released at least age ago, as another instance has recorded in the metadata store. s.mu
-// must be held.
+// observeVersion records that a weight version was released age ago, or later if this instance knows that. recorded is set if another instance
+// has recorded so in the metadata store. s.mu must be held.
 func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
 	key := versionKey(model, version)
 	age = s.observation.limit(key, age, s.versionTime(now))
@@ -247,6 +247,7 @@
 		return nil
 	}
 	var groups []engineGroup
+	suspended := s.suspended()
 	for _, decl := range s.snapshot.Catalog.Services {
 		if decl.Engine == nil {
 			continue
@@ -260,7 +261,7 @@
 				if t.record.Service == decl.Name && !t.record.Leaving && !t.stats.Leaving() {
 					g.targets[id], g.born[id] = t, t.born
 					if at := s.versionHistory.Expiry(model, t.version(model)); !at.IsZero() {
-						g.expiry[id] = at.Add(-s.suspended())
+						g.expiry[id] = at.Add(-suspended)
 					}
 				}
 			}
