--- a/review/1/main.go
+++ b/review/4/main.go
@@ -1,4 +1,4 @@
-// Command 1 shows that an unanswered publication of the rollout state, which the platform's store executes late, makes gateways fetch parts
+// Command 4 shows that an unanswered publication of the rollout state, which the platform's store executes late, makes gateways fetch parts
 // that the rollout leader frees.
 package main
 
@@ -45,7 +45,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	trouble := os.Getenv("TROUBLE") != "0"
-	d, err := harness.NewDeployment(harness.DeploymentOptions{Case: "1", Engines: engines, StoreCapacity: capacity, Transfer: transfer})
+	d, err := harness.NewDeployment(harness.DeploymentOptions{Case: "4", Engines: engines, StoreCapacity: capacity, Transfer: transfer})
 	if err != nil {
 		return 0, err
 	}
--- a/review/harness/callers.go
+++ b/review/harness/callers.go
@@ -30,7 +30,12 @@
 
 // Send sends a call to a gateway in the background, under an ID of its own.
 func (c *Callers) Send(ctx context.Context, front string, call standin.Call) {
-	call.ID = fmt.Sprintf("%016x", 0xa0000000+c.nextID.Add(1))
+	c.SendAs(ctx, fmt.Sprintf("%016x", 0xa0000000+c.nextID.Add(1)), front, call)
+}
+
+// SendAs is Send under a given ID.
+func (c *Callers) SendAs(ctx context.Context, id, front string, call standin.Call) {
+	call.ID = id
 	c.Sent.Add(1)
 	c.all.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, call.Patience)
