Review: the cases of drills wait for the gateways instead of a fixed time

The copy is of the moment before the gateways start, 3 to 4 s old at the drill, also on a machine on which they start more slowly.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -21,7 +21,7 @@
 	newService   = "dispatch-next"
 	revoked      = "guest"
 	away         = 700 * time.Millisecond
-	copyAge      = 4 * time.Second
+	startTime    = 10 * time.Second // in which the gateways must have started
 	requestEvery = 20 * time.Millisecond
 	// configBound is the longest time in which the configuration must apply: configApplyMs, stretched by skewMaxMs as while the store is not stable.
 	configBound = 7 * time.Second
@@ -118,6 +118,7 @@
 	if harness.Done(ctx, 2*time.Second) {
 		return 0, ctx.Err()
 	}
+	copied := time.Now() // the copy is as old as this: some seconds at the drill
 	var gateways []*harness.Gateway
 	for i, zone := range harness.Zones {
 		g, err := harness.StartGateway(dir, fmt.Sprintf("front-%s-%d", zone, i), zone, address)
@@ -147,7 +148,10 @@
 		}
 		return true
 	}
-	if harness.Done(ctx, 1500*time.Millisecond) || !load(500*time.Millisecond) {
+	if !store.Await("egret/instances/", len(gateways), startTime) || !store.Await("egret/locks/", 1, startTime) {
+		return 0, fmt.Errorf("the gateways have not started")
+	}
+	if harness.Done(ctx, 1200*time.Millisecond) || !load(500*time.Millisecond) {
 		return 0, ctx.Err()
 	}
 	four := config(4, oldService, "mill", revoked)
@@ -157,7 +161,7 @@
 		return 0, ctx.Err()
 	}
 	if trouble {
-		go store.Drill(away, copyAge)
+		go store.Drill(away, time.Since(copied))
 	}
 	if !load(away + 500*time.Millisecond) {
 		return 0, ctx.Err()
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -23,7 +23,8 @@
 	engines  = 4
 	loadTime = 1800 * time.Millisecond
 	away     = 700 * time.Millisecond
-	copyAge  = 4 * time.Second
+	// startTime is the time in which the gateways must have started, and given the first order.
+	startTime = 10 * time.Second
 )
 
 func main() {
@@ -125,36 +126,49 @@
 			g.Kill()
 		}
 	}()
+	copied := time.Now() // the copy is as old as this: some seconds at the drill
 	for i := range 4 {
 		if err := addGateway(harness.Zones[i%len(harness.Zones)]); err != nil {
 			return 0, err
 		}
 	}
-	if harness.Done(ctx, 2*time.Second) {
+	if !store.Await("egret/instances/", len(gateways), startTime) || !store.Await(lockKey, 1, startTime) {
+		return 0, fmt.Errorf("the gateways have not started")
+	}
+	if harness.Done(ctx, time.Second) {
 		return 0, ctx.Err()
 	}
 	store.Put("op/version/"+model, map[string]any{"model": model, "version": 2})
-	if harness.Done(ctx, 1500*time.Millisecond) {
-		return 0, ctx.Err()
+	first := uint64(0)
+	for end := time.Now().Add(startTime); first == 0; first = c.firstToken() {
+		if harness.Done(ctx, 100*time.Millisecond) || time.Now().After(end) {
+			return 0, fmt.Errorf("no order before the drill")
+		}
 	}
-	first := c.firstToken()
-	if first == 0 {
-		return 0, fmt.Errorf("no order before the drill")
+	if harness.Done(ctx, time.Second) {
+		return 0, ctx.Err()
 	}
-	if trouble {
-		store.Drill(away, copyAge)
+	drilled := make(chan struct{})
+	go func() {
+		defer close(drilled)
+		if !trouble {
+			return
+		}
+		store.Drill(away, time.Since(copied))
 		// Servers change their entries at any time. Here one does so until the store is about to give out the revision of the old lock again.
 		store.SetBeforeTxn(func(keys []string) {
 			for slices.Contains(keys, lockKey) && store.Revision()+1 < first {
 				plain.Report(store, "ready")
 			}
 		})
-	} else if harness.Done(ctx, away) {
+	}()
+	if harness.Done(ctx, away/2) {
 		return 0, ctx.Err()
 	}
-	if err := addGateway(harness.Zones[1]); err != nil { // a machine that starts now
+	if err := addGateway(harness.Zones[1]); err != nil { // a machine that starts meanwhile
 		return 0, err
 	}
+	<-drilled
 	if harness.Done(ctx, 5*time.Second) {
 		return 0, ctx.Err()
 	}
--- a/review/harness/drillstore.go
+++ b/review/harness/drillstore.go
@@ -170,6 +170,24 @@
 	return s.state.revision
 }
 
+// Await returns true once the store has n keys with a prefix, false if it does not in time.
+func (s *DrillStore) Await(prefix string, n int, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		count := 0
+		for key := range s.state.items {
+			if strings.HasPrefix(key, prefix) {
+				count++
+			}
+		}
+		s.mu.Unlock()
+		if count >= n {
+			return true
+		}
+	}
+	return false
+}
+
 // Drill takes the store away for some time and brings it back from the copy of some time before. What the operator and the servers wrote since then
 // is written again.
 func (s *DrillStore) Drill(away, age time.Duration) {
@@ -195,7 +213,7 @@
 	s.state = storeState{revision: from.revision, items: maps.Clone(from.items), history: slices.Clone(from.history), leases: leases}
 	s.copies = nil
 	s.era++
-	s.Record.Printf("drill: the store is back from a copy that is %v old, at revision %d, era %d", age, s.state.revision, s.era)
+	s.Record.Printf("drill: the store is back from a copy that is %v old, at revision %d, era %d", age.Round(time.Millisecond), s.state.revision, s.era)
 	s.commit()
 	for _, w := range s.outside {
 		if w.at.After(copied) {
