--- a/review/4/main.go
+++ b/review/4/main.go
@@ -25,8 +25,8 @@
 	partsAfter   = 100
 	warmUp       = 8 * time.Second
 	rolloutTime  = 15 * time.Second // observed after the version is named
-	lateBy       = 5500 * time.Millisecond
-	requestEvery = 12 * time.Millisecond
+	lateBy       = 4 * time.Second
+	requestEvery = 5 * time.Millisecond
 	shortEvents  = 4
 	longEvents   = 3300 // of 4 ms each
 	transfer     = 0    // nothing besides what the stand-in takes, 60 ms
