--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,8 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-for n in 1 2 3 4 5; do
-	if [ -f "review/$n/main.go" ]; then
-		go build -o "target/review-$n" "./review/$n"
+for case in 1 2 3 4 5 more/token more/restart; do
+	if [ -f "review/$case/main.go" ]; then
+		go build -o "target/review-$(basename "$case")" "./review/$case"
 	fi
 done
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -22,7 +22,7 @@
 
 // DeploymentOptions configure a Deployment.
 type DeploymentOptions struct {
-	Case          string // folder of the case under review/
+	Case          string // folder under review/
 	Engines       int
 	StoreCapacity int           // tokens
 	Transfer      time.Duration // added to each transfer of the KV-cache store
@@ -61,7 +61,7 @@
 func startDeployment(o DeploymentOptions) (*Deployment, error) {
 	d := &Deployment{}
 	var err error
-	if d.dir, err = os.MkdirTemp("", "review-"+o.Case+"-"); err != nil {
+	if d.dir, err = os.MkdirTemp("", "review-"+filepath.Base(o.Case)+"-"); err != nil {
 		return d, err
 	}
 	if d.Record, err = NewRecord(filepath.Join("review", o.Case, "record.txt")); err != nil {
