review/1: after a drill of the metadata store gateways never apply the next configuration (CONFIG, an entry)

Rule CONFIG: a request sent later than configApplyMs after the acknowledgement of a version is handled as only an older version allows.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,16 +1,12 @@
-// Command 1 shows that gateways whose registration is executed late drop out of the list of instances for good, so that all of them together
-// overload cold servers.
+// Command 1 shows that gateways keep an old configuration for good after a drill of the metadata store, which comes back from a copy.
 package main
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,124 +16,73 @@
 )
 
 const (
-	host           = "book.example"
-	service        = "dispatch-app"
-	instancePrefix = "egret/instances/"
-	slots          = 6
-	requestEvery   = 3500 * time.Microsecond
-	workFactor     = 7 // the stand-in's run time of 8 ms becomes about 60 ms
-	lossTime       = 4500 * time.Millisecond
-	maxLossShare   = 0.35
-	coldTime       = 3 * time.Second
-	coldPerSecond  = 20
-	// coldBound is coldPerS x coldOver + coldSlack.
-	coldBound = 35
-	// crashRate is the rate, in requests of the last second, at which a cold server crashes: well above what it tolerates.
-	crashRate = 60
+	host         = "book.example"
+	oldService   = "dispatch"
+	newService   = "dispatch-next"
+	revoked      = "guest"
+	away         = 700 * time.Millisecond
+	startTime    = 10 * time.Second // in which the gateways must have started
+	requestEvery = 20 * time.Millisecond
+	// configBound is the longest time in which the configuration must apply: configApplyMs, stretched by skewMaxMs as while the store is not stable.
+	configBound = 7 * time.Second
+	judged      = 8 * time.Second
 )
 
-// zones has the zone of each gateway, as in lrw-east-tx.
-var zones = []string{"lufkin", "lufkin", "nacogdoches", "nacogdoches", "jasper"}
+func main() {
+	code, err := run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "case could not run:", err)
+		code = harness.ExitNotRun
+	}
+	os.Exit(code)
+}
 
-// arrivals observes what arrives at cold servers. It implements standin.Observer.
-type arrivals struct {
-	*harness.Observer
-	mu      sync.Mutex
-	sent    map[string]time.Time
-	recent  []time.Time // arrivals of the last second at the cold server, of requests that were sent in it
-	most    int
-	atCold  int
-	crashed bool
-	lost    int // requests that ran at the cold server when it crashed
-	running map[string]bool
-	crash   func()
+// check counts the requests that are handled as only the older configuration allows.
+type check struct {
+	mu       sync.Mutex
+	record   *harness.Record
+	from     time.Time // requests sent from here on are judged; zero: none yet
+	sent     map[string]time.Time
+	judged   int
+	broken   []string
+	runByNew int
 }
 
-// Arrived implements standin.Observer.
-func (a *arrivals) Arrived(r standin.Run) {
-	if !r.Cold {
+func (c *check) ran(s *harness.PlainServer, id, tenant string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.from.IsZero() || c.sent[id].Before(c.from) {
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.atCold++
-	if r.At.Sub(a.sent[r.ID]) < time.Second {
-		a.recent = append(a.recent, r.At)
-	}
-	for len(a.recent) > 0 && r.At.Sub(a.recent[0]) >= time.Second {
-		a.recent = a.recent[1:]
-	}
-	a.most = max(a.most, len(a.recent))
-	a.running[r.ID] = true
-	if len(a.recent) > crashRate && !a.crashed {
-		a.crashed = true
-		a.lost = len(a.running)
-		a.Record.Printf("the cold server %s crashes: %d requests in the last second; %d run", r.Target, len(a.recent), len(a.running))
-		go a.crash()
+	c.judged++
+	switch {
+	case tenant == revoked:
+		c.broken = append(c.broken, fmt.Sprintf("request %s is run by %s with a key that was taken away", id, s.ID))
+	case s.Service == oldService:
+		c.broken = append(c.broken, fmt.Sprintf("request %s is run by %s of the old service", id, s.ID))
+	default:
+		c.runByNew++
+		return
 	}
+	c.record.Printf("RULE CONFIG: %s", c.broken[len(c.broken)-1])
 }
 
-// Answered implements standin.Observer.
-func (a *arrivals) Answered(answer standin.Answer) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.running, answer.ID)
-}
-
-// losses makes the store execute some transactions late and without an answer.
-type losses struct {
-	mu     sync.Mutex
-	active bool
-	writes int
-	lost   map[string]bool // by key of the registration
-}
-
-func (l *losses) countWrites(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodGet && !strings.Contains(r.URL.Path, "/kv-keep/") {
-			l.mu.Lock()
-			if l.active {
-				l.writes++
-			}
-			l.mu.Unlock()
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// lose loses the answer of the first registration of each gateway, and executes it some seconds later.
-func (l *losses) lose(keys map[string][]byte) (time.Duration, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key := range keys {
-		if l.active && strings.HasPrefix(key, instancePrefix) && !l.lost[key] {
-			l.lost[key] = true
-			return time.Duration(2000+500*len(l.lost)) * time.Millisecond, true // 2.5 to 4.5 s
-		}
+func config(version uint64, service string, tenants ...string) standin.Config {
+	c := standin.Config{
+		Version: version, Limits: standin.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMs: 3000, IdleMs: 30000},
+		Services: []standin.Service{{Name: oldService, MaxConns: 110}, {Name: newService, MaxConns: 110}},
+		Routes:   []standin.Route{{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMs: 4000, TargetLatencyMs: 300, Service: service, MaxAttempts: 1}},
 	}
-	return 0, false
-}
-
-func (l *losses) set(active bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.active = active
-}
-
-func main() {
-	code, err := run()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "case could not run:", err)
-		code = harness.ExitNotRun
+	for _, name := range tenants {
+		c.Workspaces = append(c.Workspaces, standin.Workspace{Name: name, Keys: []string{"key-" + name}})
 	}
-	os.Exit(code)
+	return c
 }
 
 func run() (int, error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// TROUBLE=0 leaves out both disruptions, TROUBLE=kill only the lost answers of the store.
-	trouble := os.Getenv("TROUBLE")
+	trouble := os.Getenv("TROUBLE") != "0"
 	dir, err := os.MkdirTemp("", "review-1-")
 	if err != nil {
 		return 0, err
@@ -148,43 +93,34 @@
 		return 0, err
 	}
 	defer record.Close()
-	seen := &arrivals{Observer: harness.NewObserver(record), sent: map[string]time.Time{}, running: map[string]bool{}, crash: func() {}}
-	lost := &losses{lost: map[string]bool{}}
-	meta := &harness.MetaStore{MetaStore: standin.NewMetaStore(), Record: record}
-	meta.SetLose(lost.lose)
-	address, err := harness.Serve(lost.countWrites(meta))
+	c := &check{record: record, sent: map[string]time.Time{}}
+	store := harness.NewDrillStore(record)
+	address, err := harness.Serve(store)
 	if err != nil {
 		return 0, err
 	}
-	standin.Operator{Store: meta.MetaStore}.Configure(standin.Config{
-		Version: 3, Limits: standin.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMs: 3000, IdleMs: 30000},
-		Services:   []standin.Service{{Name: service, MaxConns: 110, ColdStartS: coldTime.Seconds(), ColdPerS: coldPerSecond}},
-		Routes:     []standin.Route{{Name: "book", Host: host, Prefix: "/book/", Kind: "non_idempotent", TimeoutMs: 4000, TargetLatencyMs: 300, Service: service, MaxAttempts: 1}},
-		Workspaces: []standin.Workspace{{Name: "mill", Keys: []string{"key-mill"}}},
-	})
-	startServer := func(n int, cold time.Duration) (*standin.Target, error) {
-		link, err := harness.NewProxy()
-		if err != nil {
-			return nil, err
-		}
-		t, err := standin.StartTarget(standin.TargetOptions{
-			ID: fmt.Sprintf("i-%02d", n), Service: service, Domain: zones[2*n%len(zones)], Public: link.Address, Software: "v1", Slots: slots, Cold: cold,
-			Store: meta.MetaStore, Observer: seen, Seed: uint64(n),
-		}, harness.Address)
-		if err != nil {
-			return nil, err
-		}
-		t.SetFaultRates(standin.FaultRates{Slowdown: workFactor})
-		link.SetBackend(t.ListenAddress)
-		return t, nil
+	servers := 0
+	addServer := func(service string) error {
+		servers++
+		return harness.StartPlainServer(store, &harness.PlainServer{
+			ID: fmt.Sprintf("i-%02d", servers), Service: service, Zone: harness.Zones[servers%3], Record: record, OnRun: c.ran,
+		})
 	}
-	for n := range 3 {
-		if _, err := startServer(n, 0); err != nil {
+	store.Put("op/config", config(3, oldService, "mill", revoked))
+	for range 3 {
+		if err := addServer(oldService); err != nil {
+			return 0, err
+		}
+		if err := addServer(newService); err != nil {
 			return 0, err
 		}
 	}
+	if harness.Done(ctx, 2*time.Second) {
+		return 0, ctx.Err()
+	}
+	copied := time.Now() // the copy is as old as this: some seconds at the drill
 	var gateways []*harness.Gateway
-	for i, zone := range zones {
+	for i, zone := range harness.Zones {
 		g, err := harness.StartGateway(dir, fmt.Sprintf("front-%s-%d", zone, i), zone, address)
 		if err != nil {
 			return 0, err
@@ -192,91 +128,67 @@
 		defer g.Kill()
 		gateways = append(gateways, g)
 	}
-	registered := func() int {
-		n := 0
-		for _, g := range gateways {
-			if _, ok := meta.Lookup(instancePrefix + g.Name); ok {
-				n++
-			}
-		}
-		return n
-	}
-	for i := 0; registered() < len(gateways); i++ {
-		if i > 100 {
-			return 0, errors.New("the gateways have not started")
-		}
-		if harness.Done(ctx, 100*time.Millisecond) {
-			return 0, ctx.Err()
-		}
-	}
-	if harness.Done(ctx, 2*time.Second) {
-		return 0, ctx.Err()
-	}
-	if trouble != "0" {
-		lost.set(trouble != "kill")
-		record.Printf("all gateways are killed; the store loses answers: %t", trouble != "kill")
-		for _, g := range gateways {
-			g.Kill()
-		}
-		if harness.Done(ctx, 500*time.Millisecond) {
-			return 0, ctx.Err()
-		}
-		for _, g := range gateways {
-			if err := g.Start(); err != nil {
-				return 0, err
-			}
-		}
-		if harness.Done(ctx, lossTime-500*time.Millisecond) {
-			return 0, ctx.Err()
-		}
-		lost.set(false)
-		record.Printf("the store loses no more answers; it has lost %d of %d writes", len(lost.lost), lost.writes)
-		if float64(len(lost.lost)) > maxLossShare*float64(lost.writes) {
-			return 0, fmt.Errorf("%d of %d writes lost: more than the pages allow", len(lost.lost), lost.writes)
-		}
-	}
-	// The store has been sound for long when the server starts: all leases of before the loss have ended.
-	if harness.Done(ctx, 15*time.Second) {
-		return 0, ctx.Err()
-	}
-	record.Printf("%d of %d running gateways are registered", registered(), len(gateways))
 	callers := harness.NewCallers(record)
 	n := 0
 	load := func(length time.Duration) bool {
-		ticker := time.NewTicker(requestEvery)
-		defer ticker.Stop()
 		for end := time.Now().Add(length); time.Now().Before(end); {
 			n++
 			id := fmt.Sprintf("%016x", 0xb0000000+n)
-			seen.mu.Lock()
-			seen.sent[id] = time.Now()
-			seen.mu.Unlock()
-			callers.SendAs(ctx, id, gateways[n%len(gateways)].Front, standin.Call{Host: host, Path: "/book/x", Body: "{}", Key: "key-mill", Patience: 4 * time.Second})
-			select {
-			case <-ctx.Done():
+			c.mu.Lock()
+			c.sent[id] = time.Now()
+			c.mu.Unlock()
+			tenant := "mill"
+			if n%5 == 0 {
+				tenant = revoked
+			}
+			callers.SendAs(ctx, id, gateways[n%3].Front, standin.Call{Host: host, Path: "/book/x", Body: "{}", Key: "key-" + tenant, Patience: 4 * time.Second})
+			if harness.Done(ctx, requestEvery) {
 				return false
-			case <-ticker.C:
 			}
 		}
 		return true
 	}
-	if !load(3 * time.Second) {
+	if !store.Await("egret/instances/", len(gateways), startTime) || !store.Await("egret/locks/", 1, startTime) {
+		return 0, fmt.Errorf("the gateways have not started")
+	}
+	if harness.Done(ctx, 1200*time.Millisecond) || !load(500*time.Millisecond) {
 		return 0, ctx.Err()
 	}
-	record.Printf("a server is added; it is cold for %v", coldTime)
-	added, err := startServer(3, coldTime)
-	if err != nil {
-		return 0, err
+	four := config(4, oldService, "mill", revoked)
+	four.Routes[0].TimeoutMs = 3900
+	store.Put("op/config", four)
+	if !load(1500 * time.Millisecond) {
+		return 0, ctx.Err()
 	}
-	seen.mu.Lock()
-	seen.crash = func() { added.Stop(false) }
-	seen.mu.Unlock()
-	if !load(coldTime + time.Second) {
+	if trouble {
+		go store.Drill(away, time.Since(copied))
+	}
+	if !load(away + 500*time.Millisecond) {
+		return 0, ctx.Err()
+	}
+	revision := store.Put("op/config", config(9, newService, "mill"))
+	record.Printf("configuration 9 is acknowledged at revision %d: the route goes to %s, the key of %s is taken away", revision, newService, revoked)
+	if !load(4 * time.Second) {
+		return 0, ctx.Err()
+	}
+	for range 4 { // ordinary writes, by which the store's revision grows beyond the one that the gateways had
+		if err := addServer(newService); err != nil {
+			return 0, err
+		}
+	}
+	if !load(configBound) {
+		return 0, ctx.Err()
+	}
+	c.mu.Lock()
+	c.from = time.Now()
+	c.mu.Unlock()
+	record.Printf("requests from here on are judged; the store is at revision %d", store.Revision())
+	if !load(judged) {
 		return 0, ctx.Err()
 	}
 	callers.Wait()
 	for _, g := range gateways {
-		for _, text := range []string{"instance regist", "instances changed"} {
+		for _, text := range []string{"metadata store", "configuration in force", "older than the known"} {
 			for _, line := range g.Log(text) {
 				record.Printf("log of %s: %s", g.Name, line)
 			}
@@ -285,16 +197,17 @@
 			return 0, fmt.Errorf("gateway %s has ended by itself: %s", g.Name, g.LastLine())
 		}
 	}
-	seen.mu.Lock()
-	defer seen.mu.Unlock()
-	fmt.Printf("trouble %q: %d of %d gateways registered; %d requests sent, %d answered 200; %d reached the cold server, at most %d in one second (FAILBACK: %d); crashed %t, with %d accepted requests\n",
-		trouble, registered(), len(gateways), callers.Sent.Load(), callers.OK.Load(), seen.atCold, seen.most, coldBound, seen.crashed, seen.lost)
-	switch {
-	case seen.most > coldBound:
-		record.Printf("RULE FAILBACK: %d requests in one second at a cold server", seen.most)
+	fmt.Printf("trouble %t: %d requests sent, %d answered 200; of %d judged runs %d are by configuration 9; CONFIG broken %d times\n", trouble, callers.Sent.Load(), callers.OK.Load(), c.judged, c.runByNew, len(c.broken))
+	for i, text := range c.broken {
+		if i < 3 {
+			fmt.Println("  " + text)
+		}
+	}
+	if len(c.broken) > 0 {
 		return harness.ExitBroken, nil
-	case seen.atCold == 0 || callers.OK.Load() < callers.Sent.Load()/2:
-		return 0, errors.New("too few requests are served")
+	}
+	if c.judged == 0 {
+		return 0, fmt.Errorf("no request is judged")
 	}
 	return harness.ExitHeld, nil
 }
