metastore: an instance with old metadata says so, with age and reason

Log lines "metadata is old" (at once, then every 5 s) and "metadata is fresh again", gauges metadata_age_seconds and metadata_old, a counter of failed calls; errors of answers that were cut tell the bytes that had come. No decision changes.

--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -118,6 +118,7 @@
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.fetchChanges, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
+		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
 	p.engines = platform.NewEngines()
 	p.cacheTracker = gateway.NewCacheTracker(p.state, p.engines, p.isMetadataFresh)
@@ -219,6 +220,7 @@
 			klog.InfoS("process stood still", "for", gap-tickPeriod)
 		}
 		last = now
+		p.mirror.ReportAge()
 		p.state.Tick(time.Now())
 	}
 }
--- a/internal/jsonreply/jsonreply.go
+++ b/internal/jsonreply/jsonreply.go
@@ -23,7 +23,7 @@
 func Read(resp *http.Response, maxBytes int64) ([]byte, error) {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("after %d of %d bytes: %w", len(raw), resp.ContentLength, err) // -1: unknown length
 	}
 	if int64(len(raw)) > maxBytes {
 		return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLong, maxBytes)
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/bootclock"
@@ -106,6 +107,9 @@
 	// MinExpiryOutage is the shortest outage of the store during which leases of live writers can have expired. Values below
 	// minOutage are raised to it.
 	MinExpiryOutage time.Duration
+	// OldAfter is the age from which the state is reported as old. Default: MaxHealthyAge.
+	OldAfter time.Duration
+	Metrics  tally.Scope // nil: no metrics
 	// Clock returns monotonic time that advances while the machine is suspended. Default: bootclock.Now.
 	Clock func() time.Duration
 }
@@ -118,6 +122,7 @@
 	published   atomic.Pointer[Copy]
 	changes     changeLog
 	upstreams   upstreamSelector
+	ageReport   *ageReport
 	confirmedAt atomic.Int64 // by Clock, when the state last matched the store; zero: never
 	steadySince atomic.Int64 // by Clock, the first such time after the last outage during which leases can have expired
 	recoveredAt atomic.Pointer[time.Time]
@@ -134,7 +139,10 @@
 		o.Clock = bootclock.Now
 	}
 	o.MinExpiryOutage = max(o.MinExpiryOutage, minOutage)
-	return &Mirror{opts: o, items: map[string]Item{}, callEnded: make(chan struct{})}
+	if o.OldAfter == 0 {
+		o.OldAfter = MaxHealthyAge
+	}
+	return &Mirror{opts: o, items: map[string]Item{}, callEnded: make(chan struct{}), ageReport: newAgeReport(o.Metrics, o.OldAfter)}
 }
 
 // Copy returns the state for a peer that has revision after. It returns false if the mirror has no state yet.
@@ -316,7 +324,9 @@
 	if m.opts.SkipPrefix != "" {
 		omit = []string{m.opts.SkipPrefix}
 	}
+	m.ageReport.begin("store, all keys", calledAt)
 	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix, omit...)
+	m.ageReport.end(err)
 	if err != nil {
 		return err
 	}
@@ -360,7 +370,9 @@
 		return nil
 	}
 	calledAt, wait := m.opts.Clock(), m.nextWatchWait()
+	m.ageReport.begin("store, changes", calledAt)
 	events, asOf, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, wait)
+	m.ageReport.end(err)
 	if err != nil {
 		return err
 	}
--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -227,6 +227,7 @@
 	if upstream == "" {
 		return false
 	}
+	m.ageReport.begin("instance "+upstream+", changes", calledAt)
 	u, err := m.opts.FetchChanges(ctx, upstream, m.asOf, within)
 	if err == nil {
 		err = u.validate()
@@ -234,6 +235,7 @@
 	if err == nil && !u.Whole && EraOf(u.AsOf) != EraOf(m.asOf) {
 		err = fmt.Errorf("%w: changes across a restore of the store", errIncomplete)
 	}
+	m.ageReport.end(err)
 	if err != nil || u.AsOf < m.asOf {
 		if ctx.Err() == nil {
 			klog.InfoS("instance gives no changes of the metadata store", "upstream", upstream, "err", err, "revision", u.AsOf)
