--- a/cmd/egret-gateway/listen.go
+++ b/cmd/egret-gateway/listen.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/gateway"
+	"github.com/egrethoist/egrethoist/internal/metapeer"
 	"github.com/egrethoist/egrethoist/platform"
 )
 
@@ -39,8 +40,7 @@
 		return trace.Wrap(err, "listen for checks")
 	}
 	peers := newEcho()
-	peers.GET(copyPath, p.serveCopy)
-	peers.GET(changesPath, p.serveChanges)
+	(&metapeer.Server{Mirror: p.mirror, Stopping: p.stopping.Load}).Register(peers)
 	peers.GET("/metrics", echo.WrapHandler(p.metrics))
 	if err := p.serveAt(p.peerAddress(), peers); err != nil {
 		return trace.Wrap(err, "listen for other instances")
--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,7 @@
 	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/delegate"
 	"github.com/egrethoist/egrethoist/internal/gateway"
+	"github.com/egrethoist/egrethoist/internal/metapeer"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/platform"
@@ -74,6 +76,7 @@
 type process struct {
 	settings     *platform.Settings
 	store        *platform.Store
+	peers        *metapeer.Client
 	mirror       *metastore.Mirror
 	state        *gateway.State
 	gateway      *gateway.Gateway
@@ -89,7 +92,7 @@
 
 // newProcess creates the components without starting them.
 func newProcess(s *platform.Settings) (*process, error) {
-	p := &process{settings: s, store: platform.NewStore(s.StoreAddress), drained: make(chan struct{})}
+	p := &process{settings: s, store: platform.NewStore(s.StoreAddress), peers: metapeer.NewClient(nil), drained: make(chan struct{})}
 	p.endDrain = sync.OnceFunc(func() { close(p.drained) })
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
@@ -117,7 +120,7 @@
 	})
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
-		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.fetchChanges, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
+		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.peers.Changes, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
 		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
 	p.engines = platform.NewEngines()
@@ -135,6 +138,15 @@
 	p.mirror.WaitFresh(ctx, max(limit, metastore.MaxHealthyAge), maxFreshnessWait)
 }
 
+// fetchCopy fetches a copy of the metadata that is newer than a revision from another instance, chosen at random for each call.
+func (p *process) fetchCopy(ctx context.Context, after uint64) (metastore.Copy, error) {
+	peers := p.state.PeerAddresses()
+	if len(peers) == 0 {
+		return metastore.Copy{}, trace.NotFound("no other instance known")
+	}
+	return p.peers.Copy(ctx, peers[rand.IntN(len(peers))], after)
+}
+
 // isMetadataFresh reports whether the metadata is fresh enough to fetch from and save to KV-cache stores.
 func (p *process) isMetadataFresh() bool {
 	age, known := p.mirror.Age()
--- a/internal/fake/network/conn.go
+++ b/internal/fake/network/conn.go
@@ -14,6 +14,13 @@
 // windowBytes is what a sender may write ahead of the reader before it waits.
 const windowBytes = 256 << 10
 
+const (
+	// narrowWindowBytes is the same where a host has a width, and narrowSegmentBytes how much is on its way at once: the connections of a
+	// host take turns.
+	narrowWindowBytes  = 64 << 10
+	narrowSegmentBytes = 8 << 10
+)
+
 // pair is one connection: two ends and a pipe in each direction.
 type pair struct {
 	network *Network
@@ -153,7 +160,11 @@
 }
 
 // put appends as much of b as the window takes.
-func (q *pipe) put(b []byte, delay time.Duration) (int, pending, error) {
+func (q *pipe) put(b []byte, delay time.Duration, network *Network) (int, pending, error) {
+	window := windowBytes
+	if network.isNarrow(q.link) {
+		window, b = narrowWindowBytes, b[:min(len(b), narrowSegmentBytes)]
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.err != nil {
@@ -162,7 +173,7 @@
 	if q.gone && !q.silent {
 		return 0, pending{}, syscall.EPIPE
 	}
-	n := min(len(b), windowBytes-q.size)
+	n := min(len(b), window-q.size)
 	if n <= 0 {
 		return 0, pending{changed: q.changed}, nil
 	}
@@ -170,7 +181,7 @@
 	if q.silent {
 		return n, pending{}, nil
 	}
-	at := time.Now().Add(delay)
+	at := network.carry(q.link, n).Add(delay)
 	if at.Before(q.last) {
 		at = q.last
 	}
@@ -224,7 +235,7 @@
 			return done, opError("write", string(c.remote), os.ErrDeadlineExceeded)
 		}
 		_, faults, delay := c.pair.network.held(c.out.link)
-		n, next, err := c.out.put(b[done:], delay)
+		n, next, err := c.out.put(b[done:], delay, c.pair.network)
 		done += n
 		c.pair.network.count(c.out.link, n)
 		if err != nil {
--- a/internal/fake/network/network.go
+++ b/internal/fake/network/network.go
@@ -27,7 +27,10 @@
 	cut       map[link]bool // partitioned links
 	frozen    map[string]bool
 	dead      map[string]bool
-	sent      map[link]int64 // bytes taken from writers
+	sent      map[link]int64       // bytes taken from writers
+	widths    map[string]float64   // bytes per second that a host sends, and as much that it receives
+	sendFree  map[string]time.Time // when a host with a width has sent what was written so far
+	recvFree  map[string]time.Time // when it has received it
 }
 
 // New returns a network without faults whose links have the given one-way delay.
@@ -42,6 +45,9 @@
 		frozen:    map[string]bool{},
 		dead:      map[string]bool{},
 		sent:      map[link]int64{},
+		widths:    map[string]float64{},
+		sendFree:  map[string]time.Time{},
+		recvFree:  map[string]time.Time{},
 	}
 }
 
@@ -59,6 +65,40 @@
 	n.change(func() { n.delays[link{from, to}] = d })
 }
 
+// Width sets the bytes per second that a host sends, and as much that it receives, on all of its connections together. Zero: any number.
+func (n *Network) Width(host string, bytesPerSecond float64) {
+	n.change(func() { n.widths[host] = bytesPerSecond })
+}
+
+// carry returns when bytes that are written now have passed the links of both hosts: at once if none has a width.
+func (n *Network) carry(l link, bytes int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at := time.Now()
+	for _, end := range []struct {
+		host string
+		free map[string]time.Time
+	}{{l.from, n.sendFree}, {l.to, n.recvFree}} {
+		width := n.widths[end.host]
+		if width == 0 {
+			continue
+		}
+		if end.free[end.host].After(at) {
+			at = end.free[end.host]
+		}
+		at = at.Add(time.Duration(float64(bytes) / width * float64(time.Second)))
+		end.free[end.host] = at
+	}
+	return at
+}
+
+// isNarrow reports whether either host of a link has a width.
+func (n *Network) isNarrow(l link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.widths[l.from] > 0 || n.widths[l.to] > 0
+}
+
 // Partition stops a link in one direction. What is written waits, as under TCP, and arrives after Heal.
 func (n *Network) Partition(from, to string) {
 	n.change(func() { n.cut[link{from, to}] = true })
--- a/internal/fake/network/network_test.go
+++ b/internal/fake/network/network_test.go
@@ -236,3 +236,41 @@
 		}
 	})
 }
+
+// Guards against tests of narrow links on a network that does not slow anything down, or in which one connection takes all of a link.
+func TestWidthOfHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const width, size = 100 << 10, 200 << 10
+		n := New(time.Millisecond)
+		n.Width("b", width)
+		l, err := n.Listen("b:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		start, took := time.Now(), make(chan time.Duration, 2)
+		for range 2 {
+			go func() {
+				c, err := n.Dialer("a")(t.Context(), "tcp", "b:1")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = c.Write(make([]byte, size))
+				_ = c.Close()
+			}()
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				_, _ = io.Copy(io.Discard, c)
+				took <- time.Since(start)
+			}()
+		}
+		for range 2 {
+			if got := <-took; got < 3900*time.Millisecond || got > 4100*time.Millisecond {
+				t.Errorf("two transfers of 200 KB each to a host that receives 100 KB a second: one took %v, want about 4 s", got)
+			}
+		}
+	})
+}
