--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -92,7 +92,10 @@
 
 // newProcess creates the components without starting them.
 func newProcess(s *platform.Settings) (*process, error) {
-	p := &process{settings: s, store: platform.NewStore(s.StoreAddress), peers: metapeer.NewClient(nil), drained: make(chan struct{})}
+	p := &process{
+		settings: s, store: platform.OpenStore(platform.StoreOptions{Address: s.StoreAddress, LinkMbps: s.LinkMbps, ValueBytes: s.ValueBytes}),
+		peers: metapeer.NewClient(nil), drained: make(chan struct{}),
+	}
 	p.endDrain = sync.OnceFunc(func() { close(p.drained) })
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
@@ -123,7 +126,7 @@
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.peers.Changes, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
 		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
-	p.engines = platform.NewEngines()
+	p.engines = platform.NewEngines(s.LinkMbps)
 	p.cacheTracker = gateway.NewCacheTracker(p.state, p.engines, p.isMetadataFresh)
 	p.gateway = gateway.New(gateway.Options{
 		State: p.state, Protocol: platform.Protocol{}, Metrics: scope, Cache: p.cacheTracker, MemoryBytes: s.MemoryBytes,
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -402,7 +402,7 @@
 		weights: maps.Clone(s.snapshot.Weights), instances: len(s.instances), registered: s.registered,
 	}
 	if prev == nil || prev.revision != v.revision {
-		klog.InfoS("configuration in force", "version", v.catalog.Version, "revision", v.revision)
+		klog.InfoS("configuration in force", "version", v.catalog.Version, "revision", v.revision, "routes", len(v.catalog.Routes()))
 	}
 	if s.shared.scope.usable(v.catalog) {
 		v.shared = s.shared.scope
--- a/internal/jsonreply/jsonreply.go
+++ b/internal/jsonreply/jsonreply.go
@@ -5,11 +5,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"time"
+
+	"github.com/egrethoist/egrethoist/internal/transfer"
 )
 
 var (
@@ -52,3 +57,55 @@
 // NoRedirect is the CheckRedirect of a client that returns redirects as they are. A followed redirect replaces the answer by that of
 // another address, and a write may be repeated there.
 func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// fetchBlock is how many bytes of a body are read at once.
+const fetchBlock = 32 << 10
+
+// Fetch sends a request and reads the body of its answer to the end, within limits on progress. The response's body is closed. It returns
+// the response with an error if the body is cut, longer than maxBytes or too slow, and without one if there is no answer.
+func Fetch(client *http.Client, req *http.Request, limits transfer.Limits, maxBytes int64) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	p := transfer.Progress{StartedAt: time.Now()}
+	timer := time.AfterFunc(time.Until(limits.Deadline(p)), cancel)
+	defer timer.Stop()
+	total := int64(-1)
+	// failed explains an error of the connection by the limit that caused it.
+	failed := func(err error) error {
+		if ctx.Err() != nil && req.Context().Err() == nil {
+			return &transfer.Error{Received: p.Received, Total: total, HeadSeen: !p.HeadAt.IsZero(), After: time.Since(p.StartedAt)}
+		}
+		return err
+	}
+	resp, err := client.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, nil, failed(err)
+	}
+	defer resp.Body.Close()
+	p.HeadAt = time.Now()
+	p.LastAt, total = p.HeadAt, resp.ContentLength
+	if total > maxBytes {
+		return resp, nil, fmt.Errorf("%w: %d of at most %d bytes", ErrTooLong, total, maxBytes)
+	}
+	raw := make([]byte, 0, max(total, 512))
+	tracker := transfer.TrackerOf(ctx)
+	for {
+		timer.Reset(time.Until(limits.Deadline(p)))
+		if tracker != nil {
+			tracker.Update(p.Received, total)
+		}
+		raw = slices.Grow(raw, 512)
+		n, err := resp.Body.Read(raw[len(raw):min(cap(raw), len(raw)+fetchBlock)])
+		raw = raw[:len(raw)+n]
+		p.Received += int64(n)
+		p.LastAt = time.Now()
+		switch {
+		case int64(len(raw)) > maxBytes:
+			return resp, nil, fmt.Errorf("%w: more than %d bytes", ErrTooLong, maxBytes)
+		case errors.Is(err, io.EOF):
+			return resp, raw, nil
+		case err != nil:
+			return resp, nil, fmt.Errorf("after %d of %d bytes: %w", p.Received, total, failed(err)) // -1: unknown length
+		}
+	}
+}
