--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -173,11 +173,11 @@
 
 // run starts all components and returns when they have stopped. It returns nil after a planned stop.
 func (p *process) run() error {
-	record, err := json.Marshal(gateway.Instance{Address: p.peerAddress(), Domain: p.settings.FailureDomain})
+	record, err := json.Marshal(gateway.Instance{Address: p.peerAddress(), Domain: p.settings.FailureDomain, LinkMbps: p.settings.LinkMbps})
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	self := delegate.Member{Name: p.settings.Name, Domain: p.settings.FailureDomain, Address: p.peerAddress()}
+	self := delegate.Member{Name: p.settings.Name, Domain: p.settings.FailureDomain, Address: p.peerAddress(), LinkMbps: p.settings.LinkMbps}
 	presence := &metastore.Presence{Store: p.store, Key: gateway.InstancePrefix + p.settings.Name, Value: record, IsListed: p.isListed}
 	p.group.add(p.mirror.Run)
 	p.group.add(presence.Run)
--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -26,10 +26,15 @@
 // Member is a live instance.
 type Member struct {
 	Name, Domain string
-	Address      string // IP:port for the other instances
+	Address      string  // IP:port for the other instances
+	LinkMbps     float64 // width of its network link; zero: unknown, as of an instance of an earlier version
 }
 
-// Choose returns the delegates of a failure domain for a task, in order of preference. It returns fewer than
+// prefersWide reports whether the widest links are chosen for a task: its delegates pass large values on to all others.
+func (t Task) prefersWide() bool { return t == WatchMetadata }
+
+// Choose returns the delegates of a failure domain for a task, in order of preference: by the width of their links, if the task depends on
+// it, else and among equals by hash. It returns fewer than
 // delegatesPerDomain if the domain has fewer members with an address.
 func Choose(task Task, domain string, members []Member) []Member {
 	type ranked struct {
@@ -42,7 +47,13 @@
 			list = append(list, ranked{m, xxhash.Sum64String(string(task) + "\x00" + m.Name)})
 		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name)) })
+	slices.SortFunc(list, func(a, b ranked) int {
+		wider := 0
+		if task.prefersWide() {
+			wider = cmp.Compare(b.LinkMbps, a.LinkMbps)
+		}
+		return cmp.Or(wider, cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
+	})
 	out := make([]Member, 0, delegatesPerDomain)
 	for _, r := range list[:min(len(list), delegatesPerDomain)] {
 		out = append(out, r.Member)
--- a/internal/delegate/delegate_test.go
+++ b/internal/delegate/delegate_test.go
@@ -58,3 +58,37 @@
 		}
 	}
 }
+
+// Guards against instances with narrow links that pass large values on to all others of their failure domain, while wide ones are there.
+func TestWideLinksWatchMetadata(t *testing.T) {
+	members := fleet(12, 1)
+	for i := range members {
+		members[i].LinkMbps = 10
+	}
+	members[11].LinkMbps = 0 // an instance of an earlier version
+	narrow := Choose(WatchMetadata, "d0", members)
+	members[4].LinkMbps, members[9].LinkMbps = 200, 200
+	want := []string{members[4].Name, members[9].Name}
+	names := func(list []Member) []string {
+		var out []string
+		for _, m := range list {
+			out = append(out, m.Name)
+		}
+		slices.Sort(out)
+		return out
+	}
+	slices.Sort(want)
+	if got := names(Choose(WatchMetadata, "d0", members)); !slices.Equal(got, want) {
+		t.Errorf("delegates %v, want the wide ones %v", got, want)
+	}
+	without := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.LinkMbps == 200 })
+	if got := Choose(WatchMetadata, "d0", without); len(got) != delegatesPerDomain || slices.ContainsFunc(got, func(m Member) bool { return m.LinkMbps == 0 }) {
+		t.Errorf("delegates %v without the wide ones, want two of known width", got)
+	}
+	for i := range members {
+		members[i].LinkMbps = 10
+	}
+	if got := Choose(WatchMetadata, "d0", members[:11]); !slices.Equal(names(got), names(narrow)) {
+		t.Errorf("delegates %v among equal links, want %v by hash", got, narrow)
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -383,7 +383,7 @@
 func (s *State) membersLocked() []delegate.Member {
 	out := make([]delegate.Member, 0, len(s.instances))
 	for name, in := range s.instances {
-		out = append(out, delegate.Member{Name: name, Domain: in.Domain, Address: in.Address})
+		out = append(out, delegate.Member{Name: name, Domain: in.Domain, Address: in.Address, LinkMbps: in.LinkMbps})
 	}
 	return out
 }
