--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -56,6 +56,8 @@
 	minExpiryHeartbeats = 2
 	// initialPrefillRate is the assumed prefill rate of an engine in tokens per second, until its actual rate is learned.
 	initialPrefillRate = 50_000
+	// replacedValues is how many replaced values of the largest size are kept, by which other instances are sent differences only.
+	replacedValues = 4
 	// metricsPeriod is how often the metrics are passed to the reporter.
 	metricsPeriod = time.Second
 )
@@ -93,9 +95,9 @@
 // newProcess creates the components without starting them.
 func newProcess(s *platform.Settings) (*process, error) {
 	p := &process{
-		settings: s, store: platform.OpenStore(platform.StoreOptions{Address: s.StoreAddress, LinkMbps: s.LinkMbps, ValueBytes: s.ValueBytes}),
-		peers: metapeer.NewClient(nil), drained: make(chan struct{}),
+		settings: s, store: platform.OpenStore(platform.StoreOptions{Address: s.StoreAddress, LinkMbps: s.LinkMbps, ValueBytes: s.ValueBytes}), drained: make(chan struct{}),
 	}
+	p.peers = metapeer.NewClient(metapeer.ClientOptions{LinkMbps: s.LinkMbps, ValueBytes: s.ValueBytes, Base: func() (metastore.Item, bool) { return p.mirror.Base() }})
 	p.endDrain = sync.OnceFunc(func() { close(p.drained) })
 	registry := prometheus.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
@@ -124,7 +126,8 @@
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.peers.Changes, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
-		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
+		ReplacedBytes: replacedValues * int(s.ValueBytes),
+		OldAfter:      min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
 	p.engines = platform.NewEngines(s.LinkMbps)
 	p.cacheTracker = gateway.NewCacheTracker(p.state, p.engines, p.isMetadataFresh)
--- a/internal/metapeer/metapeer.go
+++ b/internal/metapeer/metapeer.go
@@ -1,13 +1,15 @@
 // Package metapeer carries the metadata from instance to instance: a follower long-polls an upstream for changes, and an instance that
-// cannot reach the metadata store fetches another one's copy. The mirrors at both ends decide what is sent and used.
+// cannot reach the metadata store fetches another one's copy. The mirrors at both ends decide what is sent and used. Large values are sent as
+// the difference to the one that the other instance has. An instance of an earlier version asks for JSON, and answers in it.
 package metapeer
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,6 +18,7 @@
 	"github.com/egrethoist/egrethoist/internal/jsonreply"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/tcp"
+	"github.com/egrethoist/egrethoist/internal/transfer"
 )
 
 const (
@@ -25,24 +28,40 @@
 	afterParam = "after"
 	// withinParam is the query parameter with the time in milliseconds within which the requesting instance expects an answer.
 	withinParam = "within"
-	// copyTimeout limits calls for copies, and the connection setup of all calls to other instances.
+	// baseParam and baseRevisionParam name the large value that the requesting instance has: its key and the revision of that.
+	baseParam         = "base"
+	baseRevisionParam = "base_revision"
+	// mediaType is the type of bodies that an instance sends if the request accepts it.
+	mediaType = "application/vnd.egrethoist.metadata"
+	// Headers of such answers. Times are in nanoseconds.
+	headerAge    = "Egret-Age"
+	headerHeld   = "Egret-Held"
+	headerSteady = "Egret-Steady"
+)
+
+const (
+	// copyTimeout is the time within which an instance begins to send its copy, and the limit of the connection setup of all calls.
 	copyTimeout = 500 * time.Millisecond
 	// changesMargin is added to the timeout of a long poll for the network: several round trips within a region.
 	changesMargin = 100 * time.Millisecond
+	// stallTimeout is the longest time that an answer may pause.
+	stallTimeout = 500 * time.Millisecond
 	// maxChangesWait is the longest time that a long poll is held.
 	maxChangesWait = 10 * time.Second
 	// maxCopyAge is the age of the metadata up to which an instance hands out its copy.
 	maxCopyAge = 1500 * time.Millisecond
 	// idleTimeout is how long an idle connection to another instance is kept.
 	idleTimeout = time.Minute
-	// maxAnswer is the maximum size in bytes of another instance's answer, which has up to some thousands of metadata items.
-	maxAnswer = 16 << 20
+	// minAnswerLimit is the smallest limit in bytes of another instance's metadata, which has up to some thousands of items.
+	minAnswerLimit = 16 << 20
 )
 
 // Server answers the calls of other instances.
 type Server struct {
 	Mirror   *metastore.Mirror
 	Stopping func() bool // reports whether the instance stops, so that others are to follow another one
+
+	packed packCache
 }
 
 // Register adds the routes of the server.
@@ -61,11 +80,18 @@
 	if err != nil {
 		return c.String(http.StatusBadRequest, withinParam+" is not a number of milliseconds")
 	}
-	update, ok := s.Mirror.ServeChanges(c.Request().Context(), after, min(time.Duration(within)*time.Millisecond, maxChangesWait))
+	u, ok := s.Mirror.ServeChanges(c.Request().Context(), after, min(time.Duration(within)*time.Millisecond, maxChangesWait))
 	if !ok || s.Stopping() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	return c.JSON(http.StatusOK, update)
+	if !acceptsMediaType(c) {
+		return c.JSON(http.StatusOK, u)
+	}
+	c.Response().Header().Set(headerHeld, formatDuration(u.Held))
+	if u.Changes == nil {
+		u.Changes = []metastore.Event{}
+	}
+	return s.send(c, u.AsOf, u.Age, u.Whole, u.Changes)
 }
 
 // serveCopy returns this instance's copy of the metadata to an instance that can't reach the store.
@@ -78,71 +104,169 @@
 	if !ok || mirrorCopy.Age > maxCopyAge {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
-	return c.JSON(http.StatusOK, mirrorCopy)
+	if !acceptsMediaType(c) {
+		return c.JSON(http.StatusOK, mirrorCopy)
+	}
+	var items []metastore.Event
+	if mirrorCopy.Items != nil {
+		items = make([]metastore.Event, len(mirrorCopy.Items))
+		for i, item := range mirrorCopy.Items {
+			items[i].Item = item
+		}
+	}
+	c.Response().Header().Set(headerSteady, formatDuration(mirrorCopy.Steady))
+	return s.send(c, mirrorCopy.AsOf, mirrorCopy.Age, true, items)
 }
 
-// Dial opens connections to other instances.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+func acceptsMediaType(c echo.Context) bool { return c.Request().Header.Get("Accept") == mediaType }
+
+// send answers with items or changes, large values as the difference to the value that the request names, if that is still known.
+func (s *Server) send(c echo.Context, asOf uint64, age time.Duration, whole bool, events []metastore.Event) error {
+	payload, err := encodePayload(asOf, whole, events)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	body, err := s.packed.pack(payload, s.requestBase(c, events))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.Response().Header().Set(headerAge, formatDuration(age))
+	return c.Blob(http.StatusOK, mediaType, body)
+}
+
+// requestBase returns the value that the requesting instance has of a key that is among the events, nil if none is known.
+func (s *Server) requestBase(c echo.Context, events []metastore.Event) []byte {
+	key := c.QueryParam(baseParam)
+	revision, err := strconv.ParseUint(c.QueryParam(baseRevisionParam), 10, 64)
+	if key == "" || err != nil {
+		return nil
+	}
+	for _, e := range events {
+		if e.Key == key && len(e.Value) >= minPacked {
+			value, _ := s.Mirror.ValueAt(key, revision)
+			return value
+		}
+	}
+	return nil
+}
+
+func formatDuration(d time.Duration) string { return strconv.FormatInt(int64(d), 10) }
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	LinkMbps   float64 // width of this machine's link; zero: unknown
+	ValueBytes int64   // largest value that the metadata store takes
+	// Base returns the large value that this instance has, false if it has none. If it is nil, it never has one.
+	Base func() (metastore.Item, bool)
+	// Dial opens connections. If it is nil, they are TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
 
 // Client calls other instances.
 type Client struct {
-	changes *http.Client // keeps one idle connection to each upstream; each call sets its own timeout
-	copies  *http.Client
+	opts     ClientOptions
+	changes  *http.Client // keeps one idle connection to each upstream
+	copies   *http.Client
+	maxBytes int64 // of an answer, and of the metadata in it
 }
 
-// NewClient returns a client. If dial is nil, it connects by TCP.
-func NewClient(dial Dial) *Client {
-	transport := func() *http.Transport {
+// NewClient returns a client with the given options.
+func NewClient(o ClientOptions) *Client {
+	client := func(idleConns int) *http.Client {
 		t := tcp.NewTransport(copyTimeout)
-		if dial != nil {
-			t.DialContext = dial
+		t.MaxIdleConnsPerHost, t.IdleConnTimeout = idleConns, idleTimeout
+		if o.Dial != nil {
+			t.DialContext = o.Dial
 		}
-		return t
-	}
-	changes := transport()
-	changes.MaxIdleConnsPerHost, changes.IdleConnTimeout = 1, idleTimeout
-	return &Client{
-		changes: &http.Client{Transport: changes, CheckRedirect: jsonreply.NoRedirect},
-		copies:  &http.Client{Timeout: copyTimeout, Transport: transport(), CheckRedirect: jsonreply.NoRedirect},
+		return &http.Client{Transport: t, CheckRedirect: jsonreply.NoRedirect}
 	}
+	const copyValues = 8 // how many values of the largest size fit into an answer
+	return &Client{opts: o, changes: client(1), copies: client(0), maxBytes: max(minAnswerLimit, copyValues*o.ValueBytes)}
 }
 
 // Changes long-polls the instance at an address for the changes of the metadata after a revision.
 func (c *Client) Changes(ctx context.Context, address string, after uint64, within time.Duration) (metastore.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, within+changesMargin)
-	defer cancel()
-	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", address, changesPath, afterParam, after, withinParam, within.Milliseconds())
-	var update metastore.Update
-	err := get(ctx, c.changes, url, &update, "AsOf", "Age", "Held", "Whole")
-	return update, err
+	query := url.Values{afterParam: {strconv.FormatUint(after, 10)}, withinParam: {strconv.FormatInt(within.Milliseconds(), 10)}}
+	var u metastore.Update
+	a, err := c.get(ctx, c.changes, address, changesPath, query, within+changesMargin, &u, "AsOf", "Age", "Held", "Whole")
+	if err != nil || a == nil {
+		return u, err
+	}
+	held, err := a.duration(headerHeld)
+	return metastore.Update{AsOf: a.asOf, Age: a.age, Held: held, Whole: a.whole, Changes: a.events}, err
 }
 
 // Copy fetches a copy of the metadata that is newer than a revision from the instance at an address.
 func (c *Client) Copy(ctx context.Context, address string, after uint64) (metastore.Copy, error) {
 	var peerCopy metastore.Copy
-	url := fmt.Sprintf("http://%s%s?%s=%d", address, copyPath, afterParam, after)
-	err := get(ctx, c.copies, url, &peerCopy, "AsOf", "Age")
+	a, err := c.get(ctx, c.copies, address, copyPath, url.Values{afterParam: {strconv.FormatUint(after, 10)}}, copyTimeout, &peerCopy, "AsOf", "Age")
+	if err != nil || a == nil {
+		return peerCopy, err
+	}
+	steady, err := a.duration(headerSteady)
+	peerCopy = metastore.Copy{AsOf: a.asOf, Age: a.age, Steady: steady}
+	if a.events != nil {
+		peerCopy.Items = make([]metastore.Item, len(a.events))
+		for i, e := range a.events {
+			peerCopy.Items[i] = e.Item
+		}
+	}
 	return peerCopy, err
 }
 
-// get sends a GET request to another instance and decodes its JSON answer. It returns an error if the call fails, the status is not
-// 200, or the answer is cut or lacks a required field: another program may have the address of an instance that has ended.
-func get(ctx context.Context, client *http.Client, url string, answer any, required ...string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+// answer is an answer of mediaType.
+type answer struct {
+	header http.Header
+	asOf   uint64
+	age    time.Duration
+	whole  bool
+	events []metastore.Event
+}
+
+// duration returns the value of a header.
+func (a *answer) duration(header string) (time.Duration, error) {
+	n, err := strconv.ParseInt(a.header.Get(header), 10, 64)
+	return time.Duration(n), trace.Wrap(err, "header %s", header)
+}
+
+// get sends a GET request to another instance, whose answer must begin within a time. It returns the answer, or nil if that is JSON and
+// decoded into legacy. It returns an error if the call fails, the status is not 200, or the answer is cut or lacks a required field:
+// another program may have the address of an instance that has ended.
+func (c *Client) get(ctx context.Context, client *http.Client, address, path string, query url.Values, begin time.Duration, legacy any, required ...string) (*answer, error) {
+	var base metastore.Item
+	if c.opts.Base != nil {
+		if item, ok := c.opts.Base(); ok {
+			base = item
+			query.Set(baseParam, base.Key)
+			query.Set(baseRevisionParam, strconv.FormatUint(base.Revision, 10))
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path+"?"+query.Encode(), nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	resp, err := client.Do(req)
+	req.Header.Set("Accept", mediaType)
+	limits := transfer.Limits{Head: begin, Stall: stallTimeout, MinRate: transfer.MinRate(c.opts.LinkMbps)}
+	resp, raw, err := jsonreply.Fetch(client, req, limits, c.maxBytes)
 	if err != nil {
-		return trace.Wrap(err, "call to another instance")
+		return nil, trace.Wrap(err, "call to instance %s", address)
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return trace.Errorf("call to instance %s: status %d", req.URL.Host, resp.StatusCode)
+		return nil, trace.Errorf("call to instance %s: status %d", address, resp.StatusCode)
+	}
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), mediaType) {
+		return nil, trace.Wrap(jsonreply.Decode(raw, legacy, required...), "answer of instance %s", address)
+	}
+	a := &answer{header: resp.Header}
+	payload, err := unpack(raw, base.Value, c.maxBytes)
+	if err == nil {
+		a.asOf, a.whole, a.events, err = decodePayload(payload)
+	}
+	if err == nil && !tcp.Framed(resp) {
+		err = jsonreply.ErrIncomplete
 	}
-	raw, err := jsonreply.Read(resp, maxAnswer)
 	if err == nil {
-		err = jsonreply.Decode(raw, answer, required...)
+		a.age, err = a.duration(headerAge)
 	}
-	return trace.Wrap(err, "answer of instance %s", req.URL.Host)
+	return a, trace.Wrap(err, "answer of instance %s", address)
 }
--- a/internal/metapeer/metapeer_test.go
+++ b/internal/metapeer/metapeer_test.go
@@ -19,14 +19,14 @@
 		"copy": {
 			`{"AsOf":7,"Age":1000000,"Items":[{"Key":"k","Value":"eA==","Revision":5,"Created":5,"Lease":0}]}`,
 			func(address string) error {
-				_, err := NewClient(nil).Copy(context.Background(), address, 3)
+				_, err := NewClient(ClientOptions{}).Copy(context.Background(), address, 3)
 				return err
 			},
 		},
 		"changes": {
 			`{"AsOf":7,"Age":1000000,"Held":2000000,"Whole":false,"Changes":[{"Key":"k","Value":null,"Revision":5,"Created":0,"Lease":0,"Deleted":true}]}`,
 			func(address string) error {
-				_, err := NewClient(nil).Changes(context.Background(), address, 3, 100*time.Millisecond)
+				_, err := NewClient(ClientOptions{}).Changes(context.Background(), address, 3, 100*time.Millisecond)
 				return err
 			},
 		},
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -53,6 +53,8 @@
 	Age    time.Duration // time since the store confirmed the state
 	Steady time.Duration // time before that in which there was no outage during which leases can have expired; zero if unknown
 	Items  []Item        // nil if the peer already has this revision, otherwise all items, perhaps none
+
+	base Item // the item with the largest value, if that is large
 }
 
 // covers reports whether the peer has been in touch with the store for the given time, so that no leases can have expired in it.
@@ -107,6 +109,8 @@
 	// MinExpiryOutage is the shortest outage of the store during which leases of live writers can have expired. Values below
 	// minOutage are raised to it.
 	MinExpiryOutage time.Duration
+	// ReplacedBytes bounds the replaced large values that are kept, by which other instances are sent differences only. Default: 4 MiB.
+	ReplacedBytes int
 	// OldAfter is the age from which the state is reported as old. Default: MaxHealthyAge.
 	OldAfter time.Duration
 	Metrics  tally.Scope // nil: no metrics
@@ -121,6 +125,7 @@
 	asOf        uint64
 	published   atomic.Pointer[Copy]
 	changes     changeLog
+	replaced    replacedValues
 	upstreams   upstreamSelector
 	ageReport   *ageReport
 	confirmedAt atomic.Int64 // by Clock, when the state last matched the store; zero: never
@@ -142,7 +147,13 @@
 	if o.OldAfter == 0 {
 		o.OldAfter = MaxHealthyAge
 	}
-	return &Mirror{opts: o, items: map[string]Item{}, callEnded: make(chan struct{}), ageReport: newAgeReport(o.Metrics, o.OldAfter)}
+	if o.ReplacedBytes == 0 {
+		o.ReplacedBytes = defaultReplacedBytes
+	}
+	return &Mirror{
+		opts: o, items: map[string]Item{}, replaced: replacedValues{maxBytes: o.ReplacedBytes},
+		callEnded: make(chan struct{}), ageReport: newAgeReport(o.Metrics, o.OldAfter),
+	}
 }
 
 // Copy returns the state for a peer that has revision after. It returns false if the mirror has no state yet.
@@ -356,6 +367,8 @@
 	for _, item := range items {
 		if old, ok := m.items[item.Key]; ok && old.Revision > item.Revision {
 			item = old
+		} else if ok && old.Revision < item.Revision {
+			m.replaced.add(old)
 		}
 		next[item.Key] = item
 	}
@@ -404,11 +417,15 @@
 		old, ok := m.items[e.Key]
 		switch {
 		case ok && old.Revision >= e.Revision:
+			continue
 		case e.Deleted:
 			delete(m.items, e.Key)
 		default:
 			m.items[e.Key] = e.Item
 		}
+		if ok {
+			m.replaced.add(old)
+		}
 	}
 	m.asOf = max(m.asOf, asOf)
 	m.changes.add(events, m.asOf)
@@ -427,6 +444,9 @@
 	c := &Copy{AsOf: m.asOf, Items: make([]Item, 0, len(m.items))}
 	for _, item := range m.items {
 		c.Items = append(c.Items, item)
+		if isLarge(item) && len(item.Value) > len(c.base.Value) {
+			c.base = item
+		}
 	}
 	m.published.Store(c)
 	m.opts.OnChange(m.items, m.asOf)
--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -78,12 +79,12 @@
 	return nil
 }
 
-// changeLog is a bounded log of the latest changes, for serving other instances. It is safe for concurrent use.
+// changeLog is a bounded log of the latest change of each key, for serving other instances. It is safe for concurrent use.
 type changeLog struct {
 	mu     sync.Mutex
-	base   uint64 // the log holds all changes after this revision
+	base   uint64 // the log holds the latest change of each key that changed after this revision
 	asOf   uint64
-	events []Event
+	events []Event // ordered by revision
 }
 
 func (l *changeLog) reset(asOf uint64) {
@@ -92,10 +93,34 @@
 	l.base, l.asOf, l.events = asOf, asOf, nil
 }
 
+// add records changes. Only the latest change of a key is of use to an instance that is behind.
 func (l *changeLog) add(events []Event, asOf uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.events = append(l.events, events...)
+	if len(events) > 0 {
+		latest := make(map[string]uint64, len(events))
+		for _, e := range events {
+			latest[e.Key] = max(latest[e.Key], e.Revision)
+		}
+		for _, e := range l.events {
+			if r, ok := latest[e.Key]; ok && r < e.Revision {
+				latest[e.Key] = e.Revision
+			}
+		}
+		// A new slice: since may have returned parts of the old one.
+		all := slices.Concat(l.events, events)
+		kept := make([]Event, 0, len(all))
+		for _, e := range all {
+			if r, changed := latest[e.Key]; !changed || r == e.Revision {
+				kept = append(kept, e)
+				if changed {
+					latest[e.Key] = 0 // the same change may be there twice
+				}
+			}
+		}
+		slices.SortStableFunc(kept, func(a, b Event) int { return cmp.Compare(a.Revision, b.Revision) })
+		l.events = kept
+	}
 	l.asOf = asOf
 	if excess := len(l.events) - maxLoggedChanges; excess > 0 {
 		l.base = l.events[excess-1].Revision
