--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -126,8 +126,8 @@
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.peers.Changes, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
-		ReplacedBytes: replacedValues * int(s.ValueBytes),
-		OldAfter:      min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
+		UrgentPrefixes: append(platform.UrgentPrefixes(), gateway.KeyPrefix), ReplacedBytes: replacedValues * int(s.ValueBytes),
+		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
 	p.engines = platform.NewEngines(s.LinkMbps)
 	p.cacheTracker = gateway.NewCacheTracker(p.state, p.engines, p.isMetadataFresh)
--- a/internal/metapeer/metapeer.go
+++ b/internal/metapeer/metapeer.go
@@ -34,9 +34,10 @@
 	// mediaType is the type of bodies that an instance sends if the request accepts it.
 	mediaType = "application/vnd.egrethoist.metadata"
 	// Headers of such answers. Times are in nanoseconds.
-	headerAge    = "Egret-Age"
-	headerHeld   = "Egret-Held"
-	headerSteady = "Egret-Steady"
+	headerAge       = "Egret-Age"
+	headerHeld      = "Egret-Held"
+	headerSteady    = "Egret-Steady"
+	headerReceiving = "Egret-Receiving" // "1": the answering instance is receiving a large answer of the store
 )
 
 const (
@@ -44,6 +45,8 @@
 	copyTimeout = 500 * time.Millisecond
 	// changesMargin is added to the timeout of a long poll for the network: several round trips within a region.
 	changesMargin = 100 * time.Millisecond
+	// queuedBytes is how much may wait in front of a call and its answer on full links: windows of a few connections.
+	queuedBytes = 128 << 10
 	// stallTimeout is the longest time that an answer may pause.
 	stallTimeout = 500 * time.Millisecond
 	// maxChangesWait is the longest time that a long poll is held.
@@ -85,9 +88,16 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	if !acceptsMediaType(c) {
+		if u.Receiving {
+			return c.NoContent(http.StatusServiceUnavailable) // an earlier version does not know of it
+		}
 		return c.JSON(http.StatusOK, u)
 	}
-	c.Response().Header().Set(headerHeld, formatDuration(u.Held))
+	header := c.Response().Header()
+	header.Set(headerHeld, formatDuration(u.Held))
+	if u.Receiving {
+		header.Set(headerReceiving, "1")
+	}
 	if u.Changes == nil {
 		u.Changes = []metastore.Event{}
 	}
@@ -164,10 +174,11 @@
 
 // Client calls other instances.
 type Client struct {
-	opts     ClientOptions
-	changes  *http.Client // keeps one idle connection to each upstream
-	copies   *http.Client
-	maxBytes int64 // of an answer, and of the metadata in it
+	opts      ClientOptions
+	changes   *http.Client // keeps one idle connection to each upstream
+	copies    *http.Client
+	maxBytes  int64         // of an answer, and of the metadata in it
+	queueTime time.Duration // in which this machine's link carries queuedBytes
 }
 
 // NewClient returns a client with the given options.
@@ -181,19 +192,22 @@
 		return &http.Client{Transport: t, CheckRedirect: jsonreply.NoRedirect}
 	}
 	const copyValues = 8 // how many values of the largest size fit into an answer
-	return &Client{opts: o, changes: client(1), copies: client(0), maxBytes: max(minAnswerLimit, copyValues*o.ValueBytes)}
+	return &Client{
+		opts: o, changes: client(1), copies: client(0), maxBytes: max(minAnswerLimit, copyValues*o.ValueBytes),
+		queueTime: transfer.Time(queuedBytes, o.LinkMbps),
+	}
 }
 
 // Changes long-polls the instance at an address for the changes of the metadata after a revision.
 func (c *Client) Changes(ctx context.Context, address string, after uint64, within time.Duration) (metastore.Update, error) {
 	query := url.Values{afterParam: {strconv.FormatUint(after, 10)}, withinParam: {strconv.FormatInt(within.Milliseconds(), 10)}}
 	var u metastore.Update
-	a, err := c.get(ctx, c.changes, address, changesPath, query, within+changesMargin, &u, "AsOf", "Age", "Held", "Whole")
+	a, err := c.get(ctx, c.changes, address, changesPath, query, within+changesMargin+c.queueTime, &u, "AsOf", "Age", "Held", "Whole")
 	if err != nil || a == nil {
 		return u, err
 	}
 	held, err := a.duration(headerHeld)
-	return metastore.Update{AsOf: a.asOf, Age: a.age, Held: held, Whole: a.whole, Changes: a.events}, err
+	return metastore.Update{AsOf: a.asOf, Age: a.age, Held: held, Receiving: a.header.Get(headerReceiving) == "1", Whole: a.whole, Changes: a.events}, err
 }
 
 // Copy fetches a copy of the metadata that is newer than a revision from the instance at an address.
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,6 +18,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/bootclock"
 	"github.com/egrethoist/egrethoist/internal/sleep"
+	"github.com/egrethoist/egrethoist/internal/transfer"
 )
 
 // Timing of a Mirror.
@@ -109,6 +111,8 @@
 	// MinExpiryOutage is the shortest outage of the store during which leases of live writers can have expired. Values below
 	// minOutage are raised to it.
 	MinExpiryOutage time.Duration
+	// UrgentPrefixes are prefixes of keys whose changes must not wait while a large answer of the store is on its way.
+	UrgentPrefixes []string
 	// ReplacedBytes bounds the replaced large values that are kept, by which other instances are sent differences only. Default: 4 MiB.
 	ReplacedBytes int
 	// OldAfter is the age from which the state is reported as old. Default: MaxHealthyAge.
@@ -123,9 +127,12 @@
 	opts        MirrorOptions
 	items       map[string]Item
 	asOf        uint64
+	deleted     map[string]uint64 // revisions of deletions after asOf, by key
 	published   atomic.Pointer[Copy]
 	changes     changeLog
 	replaced    replacedValues
+	receiving   atomic.Pointer[transfer.Tracker] // of the call of the store under way, nil if there is none
+	receivedAt  atomic.Int64                     // by Clock, end of the last large answer of the store; zero: there was none
 	upstreams   upstreamSelector
 	ageReport   *ageReport
 	confirmedAt atomic.Int64 // by Clock, when the state last matched the store; zero: never
@@ -151,7 +158,7 @@
 		o.ReplacedBytes = defaultReplacedBytes
 	}
 	return &Mirror{
-		opts: o, items: map[string]Item{}, replaced: replacedValues{maxBytes: o.ReplacedBytes},
+		opts: o, items: map[string]Item{}, deleted: map[string]uint64{}, replaced: replacedValues{maxBytes: o.ReplacedBytes},
 		callEnded: make(chan struct{}), ageReport: newAgeReport(o.Metrics, o.OldAfter),
 	}
 }
@@ -285,14 +292,17 @@
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		var err error
+		// One failed call says little of the store: the own link, or an upstream that fell silent before, can be the cause.
+		recovering := failures > 1
 		if !synced {
-			// One failed call says little of the store: the own link, or an upstream that fell silent before, can be the cause.
-			err = m.resync(ctx, failures > 1)
+			err = m.resync(ctx, recovering)
 			synced = err == nil
 		} else {
-			err = m.awaitChanges(ctx)
+			// After failures, too, only what has changed is read: all keys are many times as many bytes, and all instances may come back at
+			// the same time.
+			err = m.awaitChanges(ctx, failures > 0, recovering)
 			if errors.Is(err, ErrHistoryLost) {
-				klog.InfoS("metadata store history compacted, reading all keys again", "revision", m.asOf)
+				klog.InfoS("metadata store history compacted or larger than the state, reading all keys again", "revision", m.asOf, "err", err.Error())
 				synced = false
 				continue
 			}
@@ -318,9 +328,9 @@
 		failures++
 		m.unreachable.Store(failures > 1)
 		m.notifyWaiters()
-		// Read all keys next: unlike a watch, a range read returns at once when the store is back, and leases may have expired.
-		synced = false
-		m.fetchPeerCopy(ctx, now.Sub(lostAt))
+		if m.fetchPeerCopy(ctx, now.Sub(lostAt)) {
+			synced = true
+		}
 		pause := min(minRetryDelay<<min(failures, 6), maxRetryDelay)
 		_ = sleep.For(ctx, pause/2+rand.N(pause/2)) // the loop condition checks ctx
 	}
@@ -335,9 +345,15 @@
 	if m.opts.SkipPrefix != "" {
 		omit = []string{m.opts.SkipPrefix}
 	}
-	m.ageReport.begin("store, all keys", calledAt)
-	items, asOf, err := m.opts.Store.Range(ctx, m.opts.Prefix, omit...)
-	m.ageReport.end(err)
+	var items []Item
+	var asOf uint64
+	err := m.receive(ctx, "store, all keys", func(ctx context.Context) (err error) {
+		items, asOf, err = m.opts.Store.Range(ctx, m.opts.Prefix, omit...)
+		return err
+	})
+	if errors.Is(err, errSuperseded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -365,6 +381,9 @@
 	}
 	next := make(map[string]Item, len(items))
 	for _, item := range items {
+		if m.deleted[item.Key] > item.Revision {
+			continue
+		}
 		if old, ok := m.items[item.Key]; ok && old.Revision > item.Revision {
 			item = old
 		} else if ok && old.Revision < item.Revision {
@@ -372,20 +391,36 @@
 		}
 		next[item.Key] = item
 	}
-	m.items, m.asOf = next, asOf
+	for key, old := range m.items {
+		if _, ok := next[key]; !ok && old.Revision > asOf {
+			next[key] = old // written after the read
+		}
+	}
+	m.items = next
+	m.advance(asOf)
 	m.changes.reset(asOf)
 	m.publish()
 }
 
-// awaitChanges waits for the next changes from an upstream if there is one, else from the store, and applies them.
-func (m *Mirror) awaitChanges(ctx context.Context) error {
+// awaitChanges waits for the next changes from an upstream if there is one, else from the store, and applies them. failed is set if the last
+// call failed, recovering after an outage.
+func (m *Mirror) awaitChanges(ctx context.Context, failed, recovering bool) error {
 	if m.awaitUpstreamChanges(ctx) {
 		return nil
 	}
 	calledAt, wait := m.opts.Clock(), m.nextWatchWait()
-	m.ageReport.begin("store, changes", calledAt)
-	events, asOf, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, wait)
-	m.ageReport.end(err)
+	if failed {
+		wait = minWatchWait // the answer tells soon that the store is back
+	}
+	var events []Event
+	var asOf uint64
+	err := m.receive(ctx, "store, changes", func(ctx context.Context) (err error) {
+		events, asOf, err = m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, wait)
+		return err
+	})
+	if errors.Is(err, errSuperseded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -398,6 +433,9 @@
 	returned := len(events)
 	events = m.withoutSkipped(events)
 	m.onlySkipped = returned > 0 && len(events) == 0
+	if recovering {
+		m.recordRecovery(ctx) // before OnChange is called: records that were deleted may have expired
+	}
 	m.apply(events, asOf)
 	m.confirm(respondedAt)
 	return nil
@@ -416,10 +454,11 @@
 	for _, e := range events {
 		old, ok := m.items[e.Key]
 		switch {
-		case ok && old.Revision >= e.Revision:
+		case ok && old.Revision >= e.Revision, m.deleted[e.Key] > e.Revision:
 			continue
 		case e.Deleted:
 			delete(m.items, e.Key)
+			m.deleted[e.Key] = e.Revision
 		default:
 			m.items[e.Key] = e.Item
 		}
@@ -427,11 +466,17 @@
 			m.replaced.add(old)
 		}
 	}
-	m.asOf = max(m.asOf, asOf)
+	m.advance(max(m.asOf, asOf))
 	m.changes.add(events, m.asOf)
 	m.publish()
 }
 
+// advance sets the revision of the state. Deletions up to it need not be known any more: no later answer can contain the deleted items.
+func (m *Mirror) advance(asOf uint64) {
+	m.asOf = asOf
+	maps.DeleteFunc(m.deleted, func(_ string, revision uint64) bool { return revision <= asOf })
+}
+
 // nextWatchWait returns the wait of the next watch. It is shorter after a watch that returned changes, since that one confirms
 // only the time of its call; the state thus grows no older than without changes.
 func (m *Mirror) nextWatchWait() time.Duration {
@@ -453,10 +498,10 @@
 }
 
 // fetchPeerCopy installs the copy of another instance if it is newer. A copy that is not newer still confirms the local state,
-// as of the time at which the store confirmed the copy.
-func (m *Mirror) fetchPeerCopy(ctx context.Context, outage time.Duration) {
+// as of the time at which the store confirmed the copy. It returns false if there was no copy.
+func (m *Mirror) fetchPeerCopy(ctx context.Context, outage time.Duration) bool {
 	if m.opts.FetchPeerCopy == nil || outage < peerFallbackDelay {
-		return
+		return false
 	}
 	calledAt := m.opts.Clock()
 	c, err := m.opts.FetchPeerCopy(ctx, m.asOf)
@@ -465,8 +510,14 @@
 	}
 	if err != nil {
 		klog.V(1).InfoS("failed to fetch a copy of the metadata store from a peer", "err", err.Error())
-		return
+		return false
 	}
+	m.useCopy(c, calledAt)
+	return true
+}
+
+// useCopy installs the copy of another instance, which was asked for at a time, if it is newer.
+func (m *Mirror) useCopy(c Copy, calledAt time.Duration) {
 	if c.AsOf > m.asOf {
 		klog.InfoS("state of the metadata store taken from a peer", "revision", c.AsOf, "before", m.asOf)
 		if age, known := m.Age(); known && age >= m.opts.MinExpiryOutage && !c.covers(age) {
--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -30,6 +30,10 @@
 	// maxUpstreamAge is the maximum age of the state that an upstream serves, and the age of the own state at which a poll ends: a watch,
 	// its batch delay, and a slow call. An upstream whose link is full answers each poll in time, but with a state that is old on arrival.
 	maxUpstreamAge = maxWatchWait + watchBatchDelay + 300*time.Millisecond
+	// receivingPollTimeout bounds a poll of an upstream that is receiving a large answer of the store.
+	receivingPollTimeout = 500 * time.Millisecond
+	// maxUpstreamReceiving is how long an upstream may be receiving before another one, or the store, is asked.
+	maxUpstreamReceiving = 3 * time.Second
 	// maxLoggedChanges bounds the changes that an upstream keeps. An instance that is further behind gets the full state.
 	maxLoggedChanges = 2048
 )
@@ -56,11 +60,13 @@
 
 // Update is an upstream's response to a poll for changes.
 type Update struct {
-	AsOf    uint64
-	Age     time.Duration // time since the store confirmed the upstream's state
-	Held    time.Duration // time that the upstream held the poll before it responded
-	Whole   bool          // Changes holds the full state instead of the changes
-	Changes []Event       // not nil if Whole is set
+	AsOf uint64
+	Age  time.Duration // time since the store confirmed the upstream's state
+	Held time.Duration // time that the upstream held the poll before it responded
+	// Receiving is set if a large answer of the store is on its way to the upstream. Its state may be old, and changes may be newer than AsOf.
+	Receiving bool
+	Whole     bool    // Changes holds the full state instead of the changes
+	Changes   []Event // not nil if Whole is set
 }
 
 // validate returns an error if the update is not complete.
@@ -145,27 +151,35 @@
 }
 
 // ServeChanges serves a poll of an instance that has the state of revision after: at once if there are changes, else at the
-// next confirmation by the store. It returns false if this instance has no fresh state either, or if nothing happened in the
-// time within.
+// next confirmation by the store. It returns false if this instance has no fresh state either and is not receiving it, or if nothing happened
+// in the time within.
 func (m *Mirror) ServeChanges(ctx context.Context, after uint64, within time.Duration) (Update, bool) {
 	calledAt := m.opts.Clock()
 	timer := time.NewTimer(within)
 	defer timer.Stop()
+	serve := func(age time.Duration, receiving bool) (Update, bool) {
+		u, ok := m.updateSince(after)
+		u.Age, u.Held, u.Receiving = age, m.opts.Clock()-calledAt, receiving
+		return u, ok
+	}
 	for first := true; ; first = false {
 		m.mu.Lock()
 		wake := m.callEnded
 		m.mu.Unlock()
+		receiving := m.isReceiving()
 		age, known := m.Age() // read before the state: the age must not be understated
-		if !known || age > maxUpstreamAge || m.unreachable.Load() {
+		if !known || !receiving && (age > maxUpstreamAge || m.unreachable.Load()) {
 			return Update{}, false
 		}
-		if u, ok := m.updateSince(after); ok && (u.AsOf > after || !first) {
-			u.Age, u.Held = age, m.opts.Clock()-calledAt
+		if u, ok := serve(age, receiving); ok && (u.AsOf > after || !first) {
 			return u, true
 		}
 		select {
 		case <-wake:
 		case <-timer.C:
+			if age, known := m.Age(); known && m.isReceiving() {
+				return serve(age, true)
+			}
 			return Update{}, false
 		case <-ctx.Done():
 			return Update{}, false
@@ -198,6 +212,8 @@
 type upstreamSelector struct {
 	backoffUntil map[string]time.Duration // by address; time of the mirror's clock
 	current      string                   // upstream of the last poll; empty if the store is watched
+	// receivingSince is since when the current upstream has been receiving a large answer; zero: it is not.
+	receivingSince time.Duration
 }
 
 // choose returns the first upstream that is not in backoff, empty if there is none.
@@ -238,7 +254,12 @@
 	upstream := m.upstreams.choose(m.opts.Upstreams(), calledAt)
 	age, _ := m.Age()
 	within := min(upstreamPollTimeout, maxUpstreamAge-age)
-	if upstream != "" && within < minWatchWait {
+	receivingSince := m.upstreams.receivingSince
+	switch {
+	case upstream == "":
+	case upstream == m.upstreams.current && receivingSince != 0 && calledAt-receivingSince < maxUpstreamReceiving:
+		within = max(within, receivingPollTimeout)
+	case within < minWatchWait:
 		if upstream == m.upstreams.current {
 			klog.InfoS("instance gives old metadata", "upstream", upstream, "age", age, "revision", m.asOf)
 			m.upstreams.backOff(upstream, calledAt+upstreamBackoff)
@@ -247,12 +268,12 @@
 	}
 	if upstream != m.upstreams.current {
 		klog.InfoS("changes of the metadata store come from", "upstream", upstream, "before", m.upstreams.current) // empty: the store itself
-		m.upstreams.current = upstream
+		m.upstreams.current, m.upstreams.receivingSince = upstream, 0
 	}
 	if upstream == "" {
 		return false
 	}
-	m.ageReport.begin("instance "+upstream+", changes", calledAt)
+	m.ageReport.begin("instance "+upstream+", changes", calledAt, nil)
 	u, err := m.opts.FetchChanges(ctx, upstream, m.asOf, within)
 	if err == nil {
 		err = u.validate()
@@ -263,11 +284,23 @@
 	m.ageReport.end(err)
 	if err != nil || u.AsOf < m.asOf {
 		if ctx.Err() == nil {
-			klog.InfoS("instance gives no changes of the metadata store", "upstream", upstream, "err", err, "revision", u.AsOf)
+			reason := "its state is older"
+			if err != nil {
+				reason = err.Error()
+			}
+			klog.InfoS("instance gives no changes of the metadata store", "upstream", upstream, "err", reason, "revision", u.AsOf)
 			m.upstreams.backOff(upstream, m.opts.Clock()+upstreamBackoff)
+			m.upstreams.receivingSince = 0
 		}
 		return false
 	}
+	switch {
+	case !u.Receiving:
+		m.upstreams.receivingSince = 0
+	case m.upstreams.receivingSince == 0:
+		klog.InfoS("instance is receiving a large answer of the metadata store", "upstream", upstream, "age", u.Age, "revision", u.AsOf)
+		m.upstreams.receivingSince = m.opts.Clock()
+	}
 	if u.Whole {
 		items := make([]Item, len(u.Changes))
 		for i, e := range u.Changes {
--- a/internal/metastore/staleness.go
+++ b/internal/metastore/staleness.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -57,7 +58,8 @@
 	staleness staleness
 	call      string // call under way; empty: none
 	calledAt  time.Duration
-	failure   string // last failed call since the state was confirmed; empty: none
+	progress  fmt.Stringer // of the call under way; nil: unknown
+	failure   string       // last failed call since the state was confirmed; empty: none
 }
 
 func newAgeReport(scope tally.Scope, oldAfter time.Duration) *ageReport {
@@ -70,11 +72,11 @@
 	}
 }
 
-// begin records that a call for changes or for the whole state begins.
-func (r *ageReport) begin(call string, now time.Duration) {
+// begin records that a call for changes or for the whole state begins. progress tells how far it is; nil: unknown.
+func (r *ageReport) begin(call string, now time.Duration, progress fmt.Stringer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.call, r.calledAt = call, now
+	r.call, r.calledAt, r.progress = call, now, progress
 }
 
 // end records how the call ended.
@@ -82,7 +84,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failure = ""
-	if err != nil {
+	if err != nil && !errors.Is(err, errSuperseded) {
 		r.failure = fmt.Sprintf("%s: %v", r.call, err)
 		r.failures.Inc(1)
 	}
@@ -92,10 +94,17 @@
 // reason tells why the state is not fresh. r.mu must be held.
 func (r *ageReport) reason(now time.Duration) string {
 	switch {
+	case r.call != "":
+		text := fmt.Sprintf("%s under way for %v", r.call, (now - r.calledAt).Round(time.Millisecond))
+		if r.progress != nil {
+			text += ", " + r.progress.String()
+		}
+		if r.failure != "" {
+			text += "; before: " + r.failure
+		}
+		return text
 	case r.failure != "":
 		return r.failure
-	case r.call != "":
-		return fmt.Sprintf("%s under way for %v", r.call, (now - r.calledAt).Round(time.Millisecond))
 	}
 	return "no call since"
 }
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -18,19 +18,27 @@
 	MinRate float64       // bytes per second that the answer must reach on average from Stall after its beginning on
 }
 
-// defaultLink is the width of a link of unknown width in bytes per second, minLinkShare the part of a link that a transfer must reach on average.
+// defaultLinkMbps is the width of a link of unknown width, minLinkShare the part of a link that a transfer must reach on average.
 const (
-	defaultLink  = 10e6 / 8
-	minLinkShare = 1.0 / 32
+	defaultLinkMbps = 10
+	minLinkShare    = 1.0 / 32
 )
 
-// MinRate returns the rate that transfers over a link must reach, in bytes per second. Zero means that the width is unknown.
-func MinRate(linkMbps float64) float64 {
+// bytesPerSecond returns what a link carries. Zero means that its width in Mbit/s is unknown.
+func bytesPerSecond(linkMbps float64) float64 {
 	const bytesPerMegabit = 1e6 / 8
 	if linkMbps <= 0 {
-		return defaultLink * minLinkShare
+		linkMbps = defaultLinkMbps
 	}
-	return linkMbps * bytesPerMegabit * minLinkShare
+	return linkMbps * bytesPerMegabit
+}
+
+// MinRate returns the rate that transfers over a link must reach, in bytes per second.
+func MinRate(linkMbps float64) float64 { return bytesPerSecond(linkMbps) * minLinkShare }
+
+// Time returns the time that an empty link takes for a number of bytes.
+func Time(bytes int, linkMbps float64) time.Duration {
+	return time.Duration(float64(bytes) / bytesPerSecond(linkMbps) * float64(time.Second))
 }
 
 // Upload returns the time in which a request body of a size must be sent, in addition to the time until its answer begins.
