soak: links to the metadata store have a width, and configurations grow to nearly the largest size

The first instance of each failure domain has a link of 200 Mbit/s, the others 10 Mbit/s, in their settings too; the fault "configuration large" adds 3,800 routes for some seconds.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -100,6 +100,7 @@
 	{"engines' software released", 8, (*fleet).releaseSoftware},
 	{"all instances killed", 2, (*fleet).killInstances},
 	{"software rolled out", 12, (*fleet).rollOutSoftware},
+	{"configuration large", 4, (*fleet).enlargeConfig},
 }
 
 const (
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -283,6 +283,7 @@
 	if err != nil {
 		return err
 	}
+	storeLink.limit(linkMbps(i))
 	callerLink, err := newLink(ip+":0", fmt.Sprintf("%s:%d", ip, frontPort))
 	if err != nil {
 		return err
@@ -291,7 +292,7 @@
 		program: f.opts.Program, dir: dir, callerLink: callerLink, storeLink: storeLink,
 		spec: standin.Instance{
 			Name: name, Domain: domains[i%len(domains)], IP: ip, FrontPort: frontPort, ReadyPort: readyPort, PeerPort: peerPort,
-			MetaStoreAddress: storeLink.Address, Domains: domains, Bounds: bounds,
+			MetaStoreAddress: storeLink.Address, Domains: domains, Bounds: bounds, LinkMbps: linkMbps(i),
 		},
 	}
 	if err := in.writeSettings(); err != nil {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // link is a TCP proxy on the loopback interface in front of one part. It injects network faults without changes to the programs.
@@ -13,10 +16,12 @@
 	Address string // on which it listens
 	backend atomic.Pointer[string]
 
-	delay        atomic.Int64 // nanoseconds before each block of data is forwarded
-	cutToBackend atomic.Bool  // data to the backend is held back
-	cutToClient  atomic.Bool  // data from the backend is held back
-	refusing     atomic.Bool  // new connections are reset
+	delay        atomic.Int64  // nanoseconds before each block of data is forwarded
+	toBackend    *rate.Limiter // bytes that are carried, by all connections together; nil: any number
+	toClient     *rate.Limiter
+	cutToBackend atomic.Bool // data to the backend is held back
+	cutToClient  atomic.Bool // data from the backend is held back
+	refusing     atomic.Bool // new connections are reset
 
 	mu       sync.Mutex
 	listener net.Listener // nil while suspended
@@ -42,6 +47,16 @@
 	return k, nil
 }
 
+// limit sets the width of the link in each direction, before its first connection.
+func (k *link) limit(mbps float64) {
+	const bytesPerMegabit = 1e6 / 8
+	k.toBackend = rate.NewLimiter(rate.Limit(mbps*bytesPerMegabit), copyBlock)
+	k.toClient = rate.NewLimiter(rate.Limit(mbps*bytesPerMegabit), copyBlock)
+}
+
+// copyBlock is how many bytes are forwarded at once.
+const copyBlock = 32 << 10
+
 // setBackend sets the address to which new connections are forwarded.
 func (k *link) setBackend(address string) { k.backend.Store(&address) }
 
@@ -115,8 +130,8 @@
 	k.conns[c] = true
 	k.mu.Unlock()
 	var directions sync.WaitGroup
-	directions.Go(func() { k.copy(c, c.server, c.client, &k.cutToBackend) })
-	directions.Go(func() { k.copy(c, c.client, c.server, &k.cutToClient) })
+	directions.Go(func() { k.copy(c, c.server, c.client, &k.cutToBackend, k.toBackend) })
+	directions.Go(func() { k.copy(c, c.client, c.server, &k.cutToClient, k.toClient) })
 	directions.Wait()
 	k.mu.Lock()
 	delete(k.conns, c)
@@ -127,14 +142,17 @@
 
 // copy copies data from one connection to the other until either is closed. Data that a cut holds back is delivered when the
 // cut is over.
-func (k *link) copy(c *linkConn, to, from *net.TCPConn, cut *atomic.Bool) {
+func (k *link) copy(c *linkConn, to, from *net.TCPConn, cut *atomic.Bool, width *rate.Limiter) {
 	const pollInterval = 10 * time.Millisecond
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, copyBlock)
 	for {
 		n, err := from.Read(buffer)
 		for (cut.Load() || c.silent.Load()) && !c.closed.Load() {
 			time.Sleep(pollInterval)
 		}
+		if width != nil && n > 0 {
+			_ = width.WaitN(context.Background(), n) // n does not exceed the burst
+		}
 		if d := k.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
