--- a/internal/jsonreply/jsonreply.go
+++ b/internal/jsonreply/jsonreply.go
@@ -73,7 +73,8 @@
 	// failed explains an error of the connection by the limit that caused it.
 	failed := func(err error) error {
 		if ctx.Err() != nil && req.Context().Err() == nil {
-			return &transfer.Error{Received: p.Received, Total: total, HeadSeen: !p.HeadAt.IsZero(), After: time.Since(p.StartedAt)}
+			limit := &transfer.Error{Received: p.Received, Total: total, HeadSeen: !p.HeadAt.IsZero(), After: time.Since(p.StartedAt)}
+			return fmt.Errorf("%w: %w", limit, err)
 		}
 		return err
 	}
--- a/internal/jsonreply/jsonreply_test.go
+++ b/internal/jsonreply/jsonreply_test.go
@@ -4,8 +4,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/egrethoist/egrethoist/internal/transfer"
 )
 
 // A value that is not the complete answer must not be decoded into zero values.
@@ -35,3 +40,44 @@
 		}
 	}
 }
+
+// Guards against answers that are cut by a fixed time although they go on, and against peers that pause or send a byte now and then for good.
+func TestFetchFollowsProgress(t *testing.T) {
+	limits := transfer.Limits{Head: time.Second, Stall: time.Second, MinRate: 1000}
+	for name, c := range map[string]struct {
+		headAfter, pause time.Duration
+		blocks, size     int
+		limit            bool // ends by its limits
+	}{
+		"at once":             {0, 0, 1, 10, false},
+		"longer than a limit": {0, 50 * time.Millisecond, 30, 1000, false},
+		"no head":             {2 * time.Second, 0, 1, 10, true},
+		"pause":               {0, 2 * time.Second, 2, 1000, true},
+		"drip":                {0, 50 * time.Millisecond, 40, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(c.headAfter)
+				w.Header().Set("Content-Length", strconv.Itoa(c.blocks*c.size))
+				for range c.blocks {
+					if _, err := w.Write(make([]byte, c.size)); err != nil {
+						return
+					}
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(c.pause)
+				}
+			}))
+			defer server.Close()
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, raw, err := Fetch(server.Client(), req, limits, 1<<20)
+			var limit *transfer.Error
+			if errors.As(err, &limit) != c.limit || !c.limit && (err != nil || len(raw) != c.blocks*c.size) {
+				t.Errorf("%d bytes, error %v; want an error by the limits: %v", len(raw), err, c.limit)
+			}
+		})
+	}
+}
