httpserver, egret-gateway: log the state of callers' connections at a planned stop

The servers of the gateway go through internal/httpserver, which follows each connection; the stop logs their states just before Shutdown. No logic changes.

--- a/cmd/egret-gateway/listen.go
+++ b/cmd/egret-gateway/listen.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/gateway"
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 	"github.com/egrethoist/egrethoist/internal/metapeer"
 	"github.com/egrethoist/egrethoist/platform"
 )
@@ -32,17 +33,17 @@
 		return trace.Wrap(err, "listen for callers")
 	}
 	// The data path forwards the path of a request byte for byte and has a single handler, so it uses no router.
-	callers := &http.Server{Handler: p.gateway, ErrorLog: serverLog(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: gateway.CallerContext}
+	callers := p.newServer("callers", p.gateway, gateway.CallerContext)
 	p.serveOn(callers, p.gateway.CallerListener(listener))
 	checks := newEcho()
 	checks.GET(platform.ReadyPath, p.serveReady)
-	if err := p.serveAt(p.settings.ReadyAddress, checks); err != nil {
+	if err := p.serveAt("checks", p.settings.ReadyAddress, checks); err != nil {
 		return trace.Wrap(err, "listen for checks")
 	}
 	peers := newEcho()
 	(&metapeer.Server{Mirror: p.mirror, Stopping: p.stopping.Load}).Register(peers)
 	peers.GET("/metrics", echo.WrapHandler(p.metrics))
-	if err := p.serveAt(p.peerAddress(), peers); err != nil {
+	if err := p.serveAt("instances", p.peerAddress(), peers); err != nil {
 		return trace.Wrap(err, "listen for other instances")
 	}
 	p.group.add(func(ctx context.Context) error { return p.drainOnSignal(ctx, callers) })
@@ -72,19 +73,26 @@
 	return e
 }
 
+// newServer returns a server that does not listen yet. connContext may be nil.
+func (p *process) newServer(name string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) *httpserver.Server {
+	return httpserver.New(httpserver.Options{
+		Name: name, Handler: handler, ErrorLog: serverLog(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: connContext, Metrics: p.scope,
+	})
+}
+
 // serveAt starts a server at an address. It returns an error if it can't listen.
-func (p *process) serveAt(address string, handler http.Handler) error {
+func (p *process) serveAt(name, address string, handler http.Handler) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
-	p.serveOn(&http.Server{Handler: handler, ErrorLog: serverLog(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
+	p.serveOn(p.newServer(name, handler, nil), l)
 	return nil
 }
 
 // serveOn adds a server on a listener to the run group. After a planned stop the server's part of the group ends only when the
 // instance is drained.
-func (p *process) serveOn(server *http.Server, l net.Listener) {
+func (p *process) serveOn(server *httpserver.Server, l net.Listener) {
 	p.group.Add(func() error {
 		err := server.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -108,7 +116,7 @@
 
 // drainOnSignal drains the instance after SIGTERM or SIGINT: the readiness check fails, so that the load balancer stops using it,
 // each answer closes its connection, and requests in flight are completed up to the time to stop. It returns errStopped then.
-func (p *process) drainOnSignal(ctx context.Context, callers *http.Server) error {
+func (p *process) drainOnSignal(ctx context.Context, callers *httpserver.Server) error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(stop)
@@ -125,6 +133,7 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	defer p.endDrain()
+	klog.InfoS("connections before the server for callers is shut down", "connections", callers.Connections(), "late", p.lateness.max())
 	if err := callers.Shutdown(ctx); err != nil {
 		klog.InfoS("requests aborted at the end of the time to stop", "err", err.Error())
 	}
--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -86,6 +86,8 @@
 	cacheTracker *gateway.CacheTracker
 	gossip       *gateway.Gossip
 	metrics      http.Handler
+	scope        tally.Scope
+	lateness     lateness
 	stopping     atomic.Bool
 	drained      chan struct{} // closed when the requests in flight have ended
 	endDrain     func()
@@ -109,7 +111,8 @@
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, metricsPeriod)
-	p.metrics = reporter.HTTPHandler()
+	p.metrics, p.scope = reporter.HTTPHandler(), scope
+	p.lateness.gauge = scope.Gauge("process_late_seconds")
 	p.group.onStop = closer.Close
 	p.state = gateway.NewState(gateway.StateOptions{
 		Self: s.Name, Regions: s.RegionByDomain, Domain: s.FailureDomain, Records: platform.NewRecords(),
@@ -237,12 +240,39 @@
 		if gap := now - last; gap > tickPeriod+stallThreshold {
 			klog.InfoS("process stood still", "for", gap-tickPeriod)
 		}
+		p.lateness.record(now - last - tickPeriod)
 		last = now
 		p.mirror.ReportAge()
 		p.state.Tick(time.Now())
 	}
 }
 
+// lateness measures how long goroutines wait for the processor, by how late periodic ticks run.
+type lateness struct {
+	gauge  tally.Gauge // the latest tick, in seconds
+	recent [latenessTicks]atomic.Int64
+	next   int
+}
+
+// latenessTicks is the number of ticks that max covers, one second.
+const latenessTicks = int(time.Second / tickPeriod)
+
+// record records how late a tick ran. It must not be called concurrently.
+func (l *lateness) record(late time.Duration) {
+	l.gauge.Update(late.Seconds())
+	l.recent[l.next].Store(int64(late))
+	l.next = (l.next + 1) % latenessTicks
+}
+
+// max returns how late the latest tick of the last second ran.
+func (l *lateness) max() time.Duration {
+	longest := int64(0)
+	for i := range l.recent {
+		longest = max(longest, l.recent[i].Load())
+	}
+	return time.Duration(longest)
+}
+
 // reloadOnSignal validates the settings file on SIGHUP and logs the result. Changed settings take effect only at the next start, so
 // that an operator knows that a restart is needed.
 func (p *process) reloadOnSignal(ctx context.Context) error {
--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -268,6 +268,9 @@
 // interrupt makes a blocked write examine its state at once.
 func (c *callerConn) interrupt() { _ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) }
 
+// NetConn returns the connection that c wraps.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending direction, so that a caller receives the whole answer before the connection is closed.
 func (c *callerConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
