--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -53,7 +53,7 @@
 		return len(line), nil
 	}
 	if w.dropped > 0 {
-		if w.tryEnqueue(fmt.Appendf(nil, `{"msg":"log lines dropped","count":%d}`+"\n", w.dropped)) {
+		if w.tryEnqueue(dropReport(w.dropped)) {
 			w.dropped = 0
 		}
 	}
@@ -64,6 +64,11 @@
 	return len(line), nil
 }
 
+// dropReport returns the line that reports dropped lines.
+func dropReport(count int) []byte {
+	return fmt.Appendf(nil, `{"msg":"log lines dropped","count":%d}`+"\n", count)
+}
+
 // tryEnqueue queues a line without blocking and reports whether there was room.
 func (w *Writer) tryEnqueue(line []byte) bool {
 	select {
@@ -74,7 +79,7 @@
 	}
 }
 
-// Close writes the queued lines and waits until they are written. Later lines are dropped.
+// Close writes the queued lines and the count of those dropped, and waits until that is done. Later lines are dropped.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -116,4 +121,10 @@
 			w.countDropped(batch[n:])
 		}
 	}
+	w.mu.Lock()
+	dropped := w.dropped
+	w.mu.Unlock()
+	if dropped > 0 {
+		_, _ = w.out.Write(dropReport(dropped)) // there is no later line to tell of a failure
+	}
 }
--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -85,3 +85,21 @@
 		}
 	})
 }
+
+// Guards against lines dropped just before the end of the process, which no later line reports.
+func TestCloseReportsDrops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const excess = 7
+		var out bytes.Buffer
+		w := New(&out)
+		for range burstLines + excess {
+			if _, err := w.Write([]byte("line\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.Close()
+		if text := out.String(); strings.Count(text, "line\n") != burstLines || !strings.HasSuffix(text, `"log lines dropped","count":7}`+"\n") {
+			t.Errorf("%d lines written, the end is %q; want the burst of %d and a report of %d dropped lines", strings.Count(text, "line\n"), text[max(len(text)-60, 0):], burstLines, excess)
+		}
+	})
+}
