--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -111,7 +111,8 @@
 	}
 }
 
-// Leave tells the other instances that this one stops, so that it no longer counts once its record is gone. It sends nothing after that.
+// Leave tells the other instances that this one stops, so that it no longer counts once its record is gone, and what it was last told by
+// targets. It sends nothing after that.
 func (g *Gossip) Leave() {
 	g.sending.Lock()
 	defer g.sending.Unlock()
@@ -121,7 +122,10 @@
 	}
 	g.left = true
 	g.sequence++
-	send(g.conn, plan.OwnRecipients, &loadshare.Message{Sender: g.sender, Sequence: g.sequence})
+	now := time.Now()
+	send(g.conn, plan.OwnRecipients, &loadshare.Message{
+		Sender: g.sender, Sequence: g.sequence, Leaving: g.state.leavingToAnnounce(now), Limits: g.state.limits.tracker.Announcements(now),
+	})
 }
 
 // updatePlan recomputes the broadcast plan for the present instances. It returns the plan and the number of instances.
--- a/internal/gateway/instances_test.go
+++ b/internal/gateway/instances_test.go
@@ -258,6 +258,46 @@
 	})
 }
 
+// Guards against notices and rate limits of targets that nobody learns of, because the only instance that got them stopped before its next
+// load message.
+func TestStoppingInstanceAnnouncesLastNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newInstanceFleet(2)
+		f.publish(f.live, f.known)
+		inbox := make(chan []byte, 64)
+		sender := NewGossip(GossipOptions{State: f.states[1], Cache: &CacheTracker{}, Self: delegate.Member{Name: "front-1", Domain: "d", Address: "10.1.0.2:7000"}, Listen: func(string) (net.PacketConn, error) {
+			return &recordingConn{sent: inbox, closed: make(chan struct{})}, nil
+		}})
+		receiver := NewGossip(GossipOptions{State: f.states[0], Cache: &CacheTracker{}, Self: delegate.Member{Name: "front-0", Domain: "d", Address: "10.1.0.1:7000"}})
+		receiver.updatePlan()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = sender.Run(ctx) }()
+		time.Sleep(time.Second)
+		time.Sleep(time.Millisecond) // after the message that is due now
+		sentBefore := len(inbox)
+		f.states[1].observeNotice(f.states[1].targets["t"], Notice{Leaving: true, Limit: RateLimit{Kind: RateLimited, PerSecond: 3}}, 0, time.Now())
+		sender.Leave()
+		if sentBefore == 0 || len(inbox) == sentBefore {
+			t.Fatalf("%d messages before Leave, %d with it", sentBefore, len(inbox))
+		}
+		for len(inbox) > 0 {
+			if m, err := loadshare.Parse(<-inbox); err == nil {
+				receiver.handleMessage(m, time.Now())
+			}
+		}
+		learned := f.states[0].targets["t"]
+		if !learned.stats.Leaving() {
+			t.Error("the other instance does not know that the target leaves")
+		}
+		if rate, limited := learned.limit.rate(time.Now()); !limited || rate != 3 {
+			t.Errorf("the other instance knows the rate %v (%t), want the reported 3", rate, limited)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // recordingConn is a datagram connection that passes on what is sent and receives nothing.
 type recordingConn struct {
 	net.PacketConn // nil; provides the methods that are not called
