--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -27,6 +27,7 @@
 	stateMessageBytes = 200.0                  // estimated size in bytes of one state message
 	stateBytesPerSec  = 1000.0                 // bytes per second for all state streams of an entry
 	maxSilentPeriods  = 3                      // periods without a message after which a stream is closed
+	silenceGrace      = 250 * time.Millisecond // for messages that have arrived but were not read, since this process stood still
 	minRedialWait     = 200 * time.Millisecond // after a stream that received a state; doubles after each that did not
 	maxRedialWait     = 1 * time.Second
 	slowRedialAfter   = 30 * time.Second // a peer that is dead for longer is redialled only every slowRedialWait
@@ -167,8 +168,13 @@
 	period := watchPeriod(w.streamCount())
 	silenceTimeout := maxSilentPeriods * period
 	var silent atomic.Bool
+	var messages atomic.Int64
 	// The timer includes the dial, so that a peer that accepts connections but sends nothing is detected too.
 	silenceTimer := time.AfterFunc(silenceTimeout, func() {
+		before := messages.Load()
+		if sleep.For(ctx, silenceGrace) != nil || messages.Load() != before {
+			return
+		}
 		silent.Store(true)
 		cancel()
 	})
@@ -185,6 +191,7 @@
 		var receiver targetstate.Receiver
 		for stream.Receive() {
 			received = true
+			messages.Add(1)
 			silenceTimer.Reset(silenceTimeout)
 			receiver.Restore(stream.Msg())
 			s.observeState(stream.Msg(), w)
