--- a/internal/engine/httpengine/proof.go
+++ b/internal/engine/httpengine/proof.go
@@ -5,9 +5,14 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
-var errSealed = errors.New("connection sealed")
+var (
+	errSealed = errors.New("connection sealed")
+	errEnded  = errors.New("connection ended before the call")
+)
 
 // countedConn counts the writes that were begun and did not fail whole, and can be sealed against further ones.
 type countedConn struct {
@@ -15,14 +20,22 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	idle   bool // a call got the connection and has begun no write
 }
 
+// Write fails without writing anything if the target has ended the connection before a call's first write. The transport notices such an end only
+// when its reader has run.
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
 	}
+	if c.idle && !tcp.IdleAndOpen(c.Conn) {
+		c.mu.Unlock()
+		return 0, errEnded
+	}
+	c.idle = false
 	c.writes++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
@@ -39,9 +52,11 @@
 	c.writes--
 }
 
-func (c *countedConn) begun() uint64 {
+// beginCall notes that a call got the connection. It returns the number of writes begun before.
+func (c *countedConn) beginCall() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.idle = true
 	return c.writes
 }
 
@@ -72,7 +87,7 @@
 		return
 	}
 	p.again = p.conn != nil
-	p.conn, p.before = conn, conn.begun()
+	p.conn, p.before = conn, conn.beginCall()
 }
 
 // nothingWritten reports whether it is proved that no byte of the call was, or ever will be, written. The
--- a/internal/targetconn/quiet.go
+++ b/internal/tcp/idle.go
@@ -1,4 +1,4 @@
-package targetconn
+package tcp
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// idleAndOpen reports whether an idle connection is still open and has no unread bytes. It peeks at the socket without blocking: the
+// IdleAndOpen reports whether an idle connection is still open and has no unread bytes. It peeks at the socket without blocking: the
 // target may have closed the connection or sent bytes that belong to no request. Connections without a file descriptor pass.
-func idleAndOpen(conn net.Conn) bool {
+func IdleAndOpen(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
