soak: the load balancer takes instances out as the platform states

It checked readiness four times a second and connected callers to an instance that was not ready only if none was, so that a stopping instance got no new connection from half a second after its readiness ended. The platform checks once a second, takes an instance out after two misses and uses all if fewer than half are in rotation; a stopping instance is connected to for one to two seconds, or to its end.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -71,20 +71,12 @@
 	}
 }
 
-// dial connects to a random instance that the load balancer considers ready, or to any instance if none is ready.
+// dial connects to a random instance in the load balancer's rotation.
 func (c *callers) dial(ctx context.Context, rng *rand.Rand) (net.Conn, error) {
 	const dialTimeout = time.Second
-	var ready []*instance
-	for _, in := range c.fleet.instances {
-		if in.ready.Load() {
-			ready = append(ready, in)
-		}
-	}
-	if len(ready) == 0 {
-		ready = c.fleet.instances
-	}
+	instances := c.fleet.rotation()
 	c.mu.Lock()
-	in := ready[rng.IntN(len(ready))]
+	in := instances[rng.IntN(len(instances))]
 	c.mu.Unlock()
 	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp4", in.callerLink.Address)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -304,6 +304,20 @@
 	})
 }
 
+// rotation returns the instances to which the load balancer connects callers: those that are ready, or all if fewer than half are.
+func (f *fleet) rotation() []*instance {
+	var ready []*instance
+	for _, in := range f.instances {
+		if in.ready.Load() {
+			ready = append(ready, in)
+		}
+	}
+	if 2*len(ready) < len(f.instances) {
+		return f.instances
+	}
+	return ready
+}
+
 // pollReadiness polls the readiness of all instances until ctx ends.
 func (f *fleet) pollReadiness(ctx context.Context) {
 	var all sync.WaitGroup
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -36,7 +36,7 @@
 
 const (
 	restartDelay   = 300 * time.Millisecond
-	readyInterval  = 250 * time.Millisecond
+	readyInterval  = time.Second
 	maxReadyMisses = 2 // consecutive failed checks after which an instance is not ready
 )
 
