soak: instances stopped together, short of processor, under callers that use connections to the end

The new kind stops two or more instances, all but one at most, within about a second, each with 0.1 to 0.4 of the processor's time in turns of 0.1 s until its process has ended, with SIGHUP meanwhile. Callers of its own use connections to them without a link between: kept and idle, late, two requests in one write, HTTP/1.0, bodies that are still coming, and bursts of new ones. A request that was sent whole before the end of its connection could be seen must be answered or refused, whether it arrived or not; that the end could not be seen is read from the socket after the write, so that no slack is needed. A second signal to an instance that already stops no longer begins a stop for the ledger.

--- a/cmd/egret-soak/main.go
+++ b/cmd/egret-soak/main.go
@@ -71,14 +71,17 @@
 		fmt.Printf("seed %d: %v\n", seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d of %d streams went on, %d stalls, broken: %v\n", seed, r.Faults, r.Requests, r.Served, r.Refused, r.Failed, r.WentOn, r.TakeUps,
-		r.Stalls, r.Rules)
+	fmt.Printf("seed %d: %d faults, %d requests, %d served, %d refused, %d failed, %d of %d streams went on, %d sent at stops, %d stalls, broken: %v\n", seed, r.Faults, r.Requests, r.Served, r.Refused, r.Failed, r.WentOn, r.TakeUps,
+		r.AtStops, r.Stalls, r.Rules)
 	if len(r.ErrorLines) > 0 {
 		fmt.Println("  lines of level ERROR in the logs:", r.ErrorLines)
 	}
 	if len(r.Violations) == 0 {
 		return true
 	}
+	if len(r.Lost) > 0 {
+		fmt.Println("  LOST by the use of the connection:", r.Lost)
+	}
 	for _, text := range faults {
 		fmt.Println("  fault", text)
 	}
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -45,16 +45,21 @@
 
 // undisturbed reports whether none of the parts was disturbed between two times. Disturbances of allParts count for each part.
 func (d *disturbances) undisturbed(from, to time.Time, parts ...string) bool {
+	return !d.anyWithin(from, to, append(parts, allParts)...)
+}
+
+// anyWithin reports whether one of the parts was disturbed between two times. Disturbances of allParts count for allParts only.
+func (d *disturbances) anyWithin(from, to time.Time, parts ...string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, part := range append(parts, allParts) {
+	for _, part := range parts {
 		for _, s := range d.spans[part] {
 			if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-				return false
+				return true
 			}
 		}
 	}
-	return true
+	return false
 }
 
 // allUndisturbed reports whether no part except the links of callers was disturbed between two times.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -101,6 +101,7 @@
 	{"all instances killed", 2, (*fleet).killInstances},
 	{"software rolled out", 12, (*fleet).rollOutSoftware},
 	{"configuration large", 4, (*fleet).enlargeConfig},
+	{"instances stopped together, short of processor", 4, (*fleet).stopTogether},
 }
 
 const (
@@ -184,14 +185,7 @@
 }
 
 // terminateInstance makes a planned stop of an instance, which is restarted afterwards.
-func (f *fleet) terminateInstance(_ context.Context, fl fault) {
-	in := f.instanceOf(fl)
-	endDisturbance := f.disturbances.begin(stopPart(in.spec.Name))
-	defer endDisturbance()
-	f.history.recordStop(in.spec.Name)
-	in.terminate(bounds.StopTimeout)
-	time.Sleep(restartDelay)
-}
+func (f *fleet) terminateInstance(_ context.Context, fl fault) { f.stop(f.instanceOf(fl)) }
 
 // rollInstances restarts all instances one after the other.
 func (f *fleet) rollInstances(ctx context.Context, fl fault) {
@@ -221,20 +215,17 @@
 // throttleInstance limits the CPU time of an instance by freezing it for a part of each 100 ms, as a CPU quota does. It does not
 // count as a disturbance: all guarantees must hold.
 func (f *fleet) throttleInstance(ctx context.Context, fl fault) {
-	const period = 100 * time.Millisecond
-	in := f.instanceOf(fl)
-	run := time.Duration((0.3 + 0.5*fl.strength) * float64(period)) // the platform guarantees 0.3 of a core
-	for throttleEnd := time.Now().Add(fl.length); time.Now().Before(throttleEnd) && ctx.Err() == nil; {
-		in.signal(syscall.SIGSTOP)
-		time.Sleep(period - run)
-		in.signal(syscall.SIGCONT)
-		_ = sleep.For(ctx, run) // the loop condition checks ctx
-	}
+	ctx, cancel := context.WithTimeout(ctx, fl.length)
+	defer cancel()
+	f.instanceOf(fl).throttle(0.3+0.5*fl.strength, ctx.Done()) // the platform guarantees 0.3 of a core
 }
 
 // reloadSettings rewrites the settings file of an instance and makes it reload the settings.
 func (f *fleet) reloadSettings(_ context.Context, fl fault) {
-	in := f.instanceOf(fl)
+	f.rewriteSettings(f.instanceOf(fl))
+}
+
+func (f *fleet) rewriteSettings(in *instance) {
 	if err := in.writeSettings(); err != nil {
 		f.checker.Violation("FAULT", "write settings: %v", err)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -61,6 +61,7 @@
 	directory       *standin.Directory
 	partStores      []*standin.PartStore
 	instances       []*instance
+	callers         *callers
 
 	mu               sync.Mutex
 	config           standin.Config
@@ -73,6 +74,7 @@
 	backups          []*memory.Backup       // of the metadata store, oldest first
 	deadlyPart       atomic.Pointer[string] // part of new requests that crashes engines, nil if there is none
 	runningFaults    sync.WaitGroup         // faults that are not over yet
+	reservedStops    map[*instance]bool     // instances that a fault stops together with others
 	logFaults        func(string)
 }
 
@@ -92,7 +94,9 @@
 	f := &fleet{
 		opts: o, disturbances: newDisturbances(), history: newHistory(), rng: rand.New(rand.NewPCG(o.Seed, 0)), metaStore: standin.NewMetaStore(),
 		directory: standin.NewDirectory(), weightVersion: 1, logFaults: logFaults,
+		reservedStops: map[*instance]bool{},
 	}
+	f.callers = &callers{fleet: f}
 	f.checker = newChecker(f.disturbances, f.history, bounds)
 	f.operator = standin.Operator{Store: f.metaStore}
 	f.directory.Isolate("walled")
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -34,6 +35,9 @@
 	reply        standin.Reply
 	err          string        // why the answer is missing or incomplete
 	abandoned    bool          // the caller cancels it early
+	conn         string        // how a direct connection is used; empty: through a link
+	sentWhole    bool          // on a direct connection that the instance had not ended by then
+	afterClose   bool          // pipelined behind a request whose answer said that the connection ends
 	bodyPause    time.Duration // in the middle of sending the body
 	readPause    time.Duration // before the caller reads the body of the answer
 	software     string        // version that began the stream; empty before its first event
@@ -64,8 +68,9 @@
 	arrivals        []standin.Run
 	signals         *targetSignals
 	orders          map[string]standin.Order // latest order by target
-	violations      []violation              // at most maxTextsPerRule of each rule
+	violations      []violation              // at most maxTextsPerRule of each rule, LOST: of each use of connections
 	violationCounts map[string]int           // by rule
+	lost            map[string]int           // requests, by the use of their connection
 	deadly          map[string]*deadlyRecord // by part
 	rollouts        []*rollout               // that have ended
 	errorLines      map[string]int           // by message; see Report.ErrorLines
@@ -76,7 +81,7 @@
 func newChecker(d *disturbances, h *history, b standin.Bounds) *checker {
 	return &checker{
 		disturbances: d, bounds: b, start: time.Now(), history: h, attempts: map[string]*attempt{}, orders: map[string]standin.Order{},
-		signals: newTargetSignals(d, b), violationCounts: map[string]int{}, deadly: map[string]*deadlyRecord{}, errorLines: map[string]int{},
+		signals: newTargetSignals(d, b), violationCounts: map[string]int{}, lost: map[string]int{}, deadly: map[string]*deadlyRecord{}, errorLines: map[string]int{},
 	}
 }
 
@@ -117,6 +122,15 @@
 	a.instance = instance
 }
 
+// recordSentWhole records that attempts were sent whole on a direct connection that the instance had not ended by then.
+func (c *checker) recordSentWhole(attempts []*attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range attempts {
+		a.sentWhole = true
+	}
+}
+
 // Arrived implements standin.Observer.
 func (c *checker) Arrived(r standin.Run) {
 	c.mu.Lock()
@@ -324,8 +338,8 @@
 	return strings.Join(list, "; ")
 }
 
-// checkLost checks whether a fault explains that an answer is missing or incomplete. A planned stop does not, unless the
-// request was sent long after the start of the stop or was still running when little of the time to stop was left.
+// checkLost checks whether a fault explains that an answer is missing or incomplete. A planned stop does not, unless a target was at work
+// on a request that was sent long after the start of the stop, or still when little of the time to stop was left.
 func (c *checker) checkLost(a *attempt) {
 	const (
 		maxLateStart   = 3 * time.Second       // after the start of a stop
@@ -335,6 +349,14 @@
 		return
 	}
 	from := a.sent.Add(-c.bounds.RecoveryTime)
+	if len(a.arrived) == 0 {
+		// The instance had the whole request and neither passed it on nor refused it. No bound in time is judged, so that a stall
+		// of this machine and the state of the metadata store are no excuse.
+		if a.sentWhole && !c.disturbances.anyWithin(from, a.done, a.instance) {
+			c.addLost(a, "never arrived at a target")
+		}
+		return
+	}
 	for _, r := range a.arrived {
 		if !c.disturbances.undisturbed(from, a.done, r.Target) {
 			return // its target was disturbed
@@ -342,8 +364,31 @@
 	}
 	stop, planned := c.history.plannedStop(a.instance, a.sent.Add(-maxLateStart), a.done)
 	late := planned && (a.sent.After(stop.Add(maxLateStart)) || a.done.After(stop.Add(c.bounds.StopTimeout*5/6)))
-	if !late && len(a.arrived) > 0 && c.disturbances.undisturbed(from, a.done, a.instance, metaStorePart, callerLinksPart) {
-		c.addViolation("LOST", "request %s (%s) through %s ended without a complete answer after %v, planned stop: %v: %s", a.call.ID, a.class.name, a.instance,
-			a.done.Sub(a.sent), planned, a.err)
+	if !late && c.disturbances.undisturbed(from, a.done, a.instance, metaStorePart, callerLinksPart) {
+		c.addLost(a, "arrived at "+a.arrived[len(a.arrived)-1].Target)
 	}
 }
+
+// addLost records that an attempt ended without a complete answer and without an excuse.
+func (c *checker) addLost(a *attempt, progress string) {
+	when := "no planned stop"
+	if stop, ok := c.stopAround(a); ok {
+		when = fmt.Sprintf("sent %v and ended %v after SIGTERM", a.sent.Sub(stop), a.done.Sub(stop))
+	}
+	conn := cmp.Or(a.conn, "through a link")
+	if a.afterClose {
+		conn += ", behind an answer with Connection: close"
+	}
+	c.lost[conn]++
+	c.violationCounts["LOST"]++
+	if c.lost[conn] <= maxTextsPerRule {
+		c.violations = append(c.violations, violation{Rule: "LOST", At: time.Since(c.start), Text: fmt.Sprintf(
+			"request %s (%s, %s) through %s ended without a complete answer after %v, %s, %s: %s", a.call.ID, a.class.name, conn, a.instance,
+			a.done.Sub(a.sent), progress, when, a.err)})
+	}
+}
+
+// stopAround returns the start of the planned stop during which an attempt ended, and whether there is one.
+func (c *checker) stopAround(a *attempt) (time.Time, bool) {
+	return c.history.plannedStop(a.instance, a.done.Add(-c.bounds.StopTimeout-time.Second), a.done)
+}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -213,6 +213,42 @@
 			s.execute(s.runOf(a, "t"))
 			s.checkReply(a, standin.Reply{}, "", errTest)
 		}},
+		{"LOST", func(s *fixture) { s.closeUnanswered(s.sendWhole(0)) }},
+		{"LOST", func(s *fixture) { // neither a stall of this machine nor the store closes a connection
+			s.disturbances.begin(allParts)
+			s.disturbances.begin(metaStorePart)
+			s.closeUnanswered(s.sendWhole(0))
+		}},
+		{"LOST", func(s *fixture) { s.closeUnanswered(s.sendWhole(5500 * time.Millisecond)) }}, // in the last sixth, but no target was at work
+		{"", func(s *fixture) { // a target was at work in the last sixth
+			a := s.sendWhole(5500 * time.Millisecond)
+			a.sent = a.sent.Add(-3 * time.Second)
+			s.execute(s.runOf(a, "t"))
+			s.closeUnanswered(a)
+		}},
+		{"LOST", func(s *fixture) { // taken too late to be excused
+			a := s.sendWhole(5500 * time.Millisecond)
+			s.execute(s.runOf(a, "t"))
+			s.closeUnanswered(a)
+		}},
+		{"", func(s *fixture) { s.closeUnanswered(s.send("book", "1")) }}, // the close was seen, or crossed the request
+		{"", func(s *fixture) { // the instance was killed
+			a := s.sendWhole(0)
+			s.disturbances.begin(a.instance)
+			s.closeUnanswered(a)
+		}},
+		{"", func(s *fixture) { // at the deadline
+			a := s.sendWhole(0)
+			a.sent = a.sent.Add(-a.call.Patience)
+			s.closeUnanswered(a)
+		}},
+		{"", func(s *fixture) { s.checkReply(s.sendWhole(0), standin.Reply{Status: 408, RetryAfter: "0"}, "", nil) }},
+		{"", func(s *fixture) { s.checkReply(s.sendWhole(0), standin.Reply{Status: 503, RetryAfter: "0"}, "", nil) }},
+		{"REFUSED", func(s *fixture) { // taken for unread, but it runs
+			a := s.sendWhole(0)
+			s.checkReply(a, standin.Reply{Status: 408, RetryAfter: "0"}, "", nil)
+			s.execute(s.runOf(a, "t"))
+		}},
 		{"DENIED", func(s *fixture) {
 			a := s.send("book", "1")
 			s.checkReply(a, standin.Reply{Status: 401}, "", nil)
@@ -280,6 +316,20 @@
 	}
 }
 
+// sendWhole records an attempt that is sent whole on a direct connection, the given time after SIGTERM if it is not zero.
+func (s *fixture) sendWhole(afterSignal time.Duration) *attempt {
+	a := s.send("book", "1")
+	a.conn = "kept"
+	s.recordSentWhole([]*attempt{a})
+	if afterSignal > 0 {
+		s.history.plannedStops[a.instance] = []time.Time{a.sent.Add(-afterSignal)}
+	}
+	return a
+}
+
+// closeUnanswered records that the connection of an attempt ends without an answer.
+func (s *fixture) closeUnanswered(a *attempt) { s.checkReply(a, standin.Reply{}, "", errTest) }
+
 // cutThenAnswer records a stream that target t begins and cuts, after which target u answers the attempt to resume it with something else.
 func (s *fixture) cutThenAnswer(status int, body string) *attempt {
 	a := s.send("plan", "1")
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -100,6 +100,13 @@
 	}
 }
 
+// stopping reports whether the soak has sent a signal that ends the process, and no new one has started.
+func (in *instance) stopping() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.stopExpected
+}
+
 // terminate stops the process as the platform does: with SIGTERM, and with SIGKILL if it has not exited after the grace period.
 func (in *instance) terminate(grace time.Duration) {
 	in.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,9 +41,11 @@
 	TakeUps    int // attempts to resume a stream at undisturbed instances, while enough targets of its version served
 	WentOn     int // those that received an event
 	Failed     int
+	AtStops    int // requests that were sent whole, on open connections, to instances that had received SIGTERM
 	Stalls     int // periods in which the local machine was too busy for timers to fire on time
 	Violations []violation
 	Rules      map[string]int // violations by rule
+	Lost       map[string]int // violations of LOST, by the use of the connection
 	ErrorLines map[string]int // lines of level ERROR in the instances' logs that are no violations, by message
 	Logs       string         // directory of the instances' logs; empty if they were removed
 }
@@ -89,7 +91,7 @@
 	all.Go(func() { f.disturbances.watchStalls(ctx.Done()) })
 	all.Go(func() { f.pollReadiness(ctx) })
 	all.Go(func() { f.backUp(ctx) })
-	all.Go(func() { (&callers{fleet: f}).run(ctx) })
+	all.Go(func() { f.callers.run(ctx) })
 	faultCtx, cancelFaults := context.WithTimeout(ctx, f.opts.Length-finalQuietTime)
 	f.inject(faultCtx, faults)
 	cancelFaults()
@@ -214,12 +216,15 @@
 func (c *checker) report(seed uint64, faults int) *Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &Report{Seed: seed, Faults: faults, TakeUps: c.takeUps, WentOn: c.wentOn, Violations: c.violations, Rules: c.violationCounts, ErrorLines: c.errorLines, Stalls: c.disturbances.count(allParts)}
+	r := &Report{Seed: seed, Faults: faults, TakeUps: c.takeUps, WentOn: c.wentOn, Violations: c.violations, Rules: c.violationCounts, Lost: c.lost, ErrorLines: c.errorLines, Stalls: c.disturbances.count(allParts)}
 	for _, a := range c.attempts {
 		if a.abandoned {
 			continue
 		}
 		r.Requests++
+		if stop, ok := c.stopAround(a); ok && a.sentWhole && a.sent.After(stop) {
+			r.AtStops++
+		}
 		switch {
 		case a.err == "" && a.reply.Status/100 == 2:
 			r.Served++
