--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -101,7 +101,7 @@
 	{"all instances killed", 2, (*fleet).killInstances},
 	{"software rolled out", 12, (*fleet).rollOutSoftware},
 	{"configuration large", 4, (*fleet).enlargeConfig},
-	{"instances stopped together, short of processor", 4, (*fleet).stopTogether},
+	{"instances stopped together, short of processor", 10, (*fleet).stopTogether},
 }
 
 const (
