--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -21,7 +21,7 @@
 const (
 	// refusal answers whatever was sent on a connection and reached no handler. RFC 9110 has status 408 for a server that closes an idle
 	// connection: a request that crosses it has not run, and the client may send it again on another one.
-	refusal = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	refusal = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 0\r\n\r\n"
 	// refusalTimeout bounds the write of refusal, which only a client that does not read delays.
 	refusalTimeout = 200 * time.Millisecond
 	// lingerTimeout is how long a connection without another limit stays half open for the client to close it. What the client sends
