quarantine: a claim that arrives before the release of another is kept

By the logs one request claimed the probe at 3.667 s, the other one at 3.688 s, while the first claim was in force until 3.757 s.

Cause: a request whose probe was not sent releases its claim and claims again at once. Datagrams may change places. An instance that learned the new claim first ignored it, since the old one was in force, then forgot the old one on its release, and had no claim left. The repetition of the new claim came 50 ms later, after its own request had claimed the probe.

An instance now remembers all claims on a part that are in force, the winner first, so that a release leaves the others. A claim that loses still ends with its own release or after 3 s.

TestClaimBeforeReleaseOfAnotherIsKept failed before: "a third request may probe while the second one does".

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -62,7 +62,9 @@
 	mentioned := t.mentionedParts()
 	maps.DeleteFunc(t.clearedAt, func(p Part, at time.Time) bool { return now.Sub(at) > suspicion && !mentioned[p] })
 	maps.DeleteFunc(t.versions, func(p Part, _ int) bool { return !mentioned[p] })
-	maps.DeleteFunc(t.claims, func(_ Part, c claim) bool { return !now.Before(c.until) })
+	maps.DeleteFunc(t.claims, func(_ Part, claims []claim) bool {
+		return !slices.ContainsFunc(claims, func(c claim) bool { return c.live(now) })
+	})
 }
 
 // keptFor returns how long after a crash it is kept as evidence against a part.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -56,8 +56,9 @@
 	maxSuspects = 128
 	maxEvidence = 4096
 	maxRequests = 8
-	// maxClaims bounds the claims that are remembered.
-	maxClaims = 4096
+	// maxClaims and maxClaimsPerPart bound the claims that are remembered: parts with claims, and claims on one of them.
+	maxClaims        = 4096
+	maxClaimsPerPart = 16
 	// maxRestored bounds the crashes of a restored quarantine: more do not lengthen it.
 	maxRestored = 6
 )
@@ -185,7 +186,7 @@
 	mu        sync.Mutex
 	crashes   []*evidence // by time
 	clearedAt map[Part]time.Time
-	claims    map[Part]claim
+	claims    map[Part][]claim     // the first one may probe, the others were made at the same time or learned before its release
 	released  map[uint64]time.Time // by holder of an ended claim: messages may repeat the claim
 	versions  map[Part]int         // newest weight version on which a part was seen to crash
 	changed   chan struct{}        // closed at the next change
@@ -225,7 +226,7 @@
 
 // NewTracker returns a tracker without evidence. now is the time of its start.
 func NewTracker(now time.Time) *Tracker {
-	return &Tracker{served: servedTable{epoch: now}, clearedAt: map[Part]time.Time{}, claims: map[Part]claim{}, released: map[uint64]time.Time{}, versions: map[Part]int{}, changed: make(chan struct{})}
+	return &Tracker{served: servedTable{epoch: now}, clearedAt: map[Part]time.Time{}, claims: map[Part][]claim{}, released: map[uint64]time.Time{}, versions: map[Part]int{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed when a belief or a claim changes.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -224,6 +224,23 @@
 	}
 }
 
+// Guards against two probes at a time: a claim that arrived before the release of the one before it was ignored, so that a third request claimed
+// the probe as well.
+func TestClaimBeforeReleaseOfAnotherIsKept(t *testing.T) {
+	tracker := NewTracker(epoch)
+	tracker.LearnCrash(crashOf(0, "x"), 1, at(0))
+	tracker.LearnClaim(parts("x"), 3, at(0))
+	tracker.LearnClaim(parts("x"), 9, at(150))
+	tracker.Release(parts("x"), 3, at(151))
+	if tracker.Claim(parts("x"), 20, at(160)) || tracker.Check(parts("x"), 1, at(160)).Verdict != Wait {
+		t.Error("a third request may probe while the second one does")
+	}
+	tracker.Release(parts("x"), 9, at(300))
+	if !tracker.Claim(parts("x"), 20, at(301)) {
+		t.Error("the probe cannot be claimed after the release of all claims")
+	}
+}
+
 // Guards against two probes at a time: messages are sent several times, and a repeated claim of a request that had ended replaced the
 // claim of the one that was running.
 func TestRepeatedClaimOfEndedProbeIsIgnored(t *testing.T) {
