--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -26,8 +26,8 @@
 	crashCollectTime = 3 * time.Millisecond
 	// crashSettleTime is how long the retries of such requests wait for the reports of other instances.
 	crashSettleTime = 20 * time.Millisecond
-	// recallCheckDelay is the time from the recall of a request to the check of its target: longer than from the beginning of an answer to
-	// a crash, and short enough that the target has not restarted.
+	// recallCheckDelay is the time from the recall of a request to the check of its target if no instance reports its crash before: longer than from
+	// the beginning of an answer to a crash, and short enough that the target has not restarted.
 	recallCheckDelay = 200 * time.Millisecond
 	// answerBeginTime is how long after its first event an answer counts as begun just now.
 	answerBeginTime = 100 * time.Millisecond
@@ -92,7 +92,8 @@
 }
 
 // checkRecalled finds out later whether a target has crashed under the request that was just called back from it: the target may have begun
-// to answer before it learned of that. The evidence is weak, since that is not known.
+// to answer before it learned of that. The evidence is weak, since that is not known. It follows the report of another instance at once: until then
+// the crash counts as one without the request's parts.
 func (rq *request) checkRecalled(a *attempt) {
 	state, request := rq.gateway.opts.State, uint32(requestHash(rq.call.ID))
 	var suspects []quarantine.Suspect
@@ -100,7 +101,10 @@
 		servedAt, _ := state.quarantine.tracker.LastServed(p, time.Now())
 		suspects = append(suspects, quarantine.Suspect{Part: p, Request: request, Weak: true, ServedAt: servedAt})
 	}
-	time.AfterFunc(recallCheckDelay, func() { state.crashCheckOf(a.target, cutRequest{a.sent, suspects}) })
+	go func() {
+		state.quarantine.awaitCrash(uint64(a.target.incarnation), recallCheckDelay)
+		state.crashCheckOf(a.target, cutRequest{a.sent, suspects})
+	}()
 }
 
 // crashSuspects returns what may have crashed the target of a cut attempt: the request as a whole and the parts of its prompt. The last part is
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/egrethoist/egrethoist/internal/catalog"
 	"github.com/egrethoist/egrethoist/internal/quarantine"
+	"github.com/egrethoist/egrethoist/internal/roster"
 )
 
 // requestWithParts returns a request whose prompt has the parts with the given IDs.
@@ -55,3 +60,48 @@
 		}
 	}
 }
+
+// Guards against evidence that comes too late: an instance that had called a request back from a target looked for its crash only 200 ms later, also
+// when another instance had reported it. Until then the crash seemed to have nothing to do with the request's parts, and more probes of these began.
+func TestRecalledRequestIsBlamedOnceCrashIsReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		reported         bool
+		earliest, latest time.Duration // from the recall to the instance's own report
+	}{
+		"reported by another instance": {reported: true, earliest: 10 * time.Millisecond, latest: 20 * time.Millisecond},
+		"not reported":                 {earliest: recallCheckDelay, latest: recallCheckDelay + 10*time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			rq := requestWithParts("a", "own")
+			state := rq.gateway.opts.State
+			refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+			crashed := newTarget(roster.Target{Record: roster.Record{ID: "t", Address: "10.0.0.1:80"}}, 1, refuse, state.limits)
+			state.targets["t"] = crashed
+			start, incarnation := time.Now(), uint64(crashed.incarnation)
+			rq.checkRecalled(&attempt{target: crashed, sent: start})
+			time.Sleep(10 * time.Millisecond)
+			if c.reported {
+				report := quarantine.Message{Crash: &quarantine.CrashReport{Incarnation: incarnation}}
+				raw, err := report.Encode()
+				if err != nil || !state.quarantine.handleDatagram(raw, nil) {
+					t.Fatal("the report is not accepted", err)
+				}
+			}
+			isReported := func() bool {
+				state.quarantine.mu.Lock()
+				defer state.quarantine.mu.Unlock()
+				return state.quarantine.reported[incarnation]
+			}
+			for !isReported() && time.Since(start) < time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			if took := time.Since(start); took < c.earliest || took > c.latest {
+				t.Errorf("%s: reported after %v, want %v to %v", name, took, c.earliest, c.latest)
+			}
+			time.Sleep(time.Second) // all messages and timers end
+			if len(state.quarantine.awaited) > 0 {
+				t.Errorf("%s: %d crashes are still awaited", name, len(state.quarantine.awaited))
+			}
+		})
+	}
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -73,7 +73,8 @@
 	listed    tally.Gauge   // quarantined parts or sets of parts
 
 	mu       sync.Mutex
-	conn     net.PacketConn    // nil until the Gossip listens
+	conn     net.PacketConn // nil until the Gossip listens
+	awaited  map[uint64]*awaitedCrash
 	reported map[uint64]bool   // incarnations whose crashes this instance has reported
 	refused  map[string]int    // refused requests by quarantine that are not in the metadata store yet
 	restored map[string]uint64 // revision by key of the records of the metadata store that were applied
@@ -82,6 +83,12 @@
 	countedAt map[string]time.Time
 }
 
+// awaitedCrash is the crash of an incarnation of a target that may be reported soon.
+type awaitedCrash struct {
+	known   chan struct{} // closed when an instance has reported the crash
+	waiting int           // callers of awaitCrash
+}
+
 // inFlightCall is a request at a target whose answer has not begun.
 type inFlightCall struct {
 	promptParts []quarantine.Part
@@ -101,7 +108,7 @@
 		state: s, tracker: quarantine.NewTracker(time.Now()), self: rand.Uint64() << 16,
 		crashes: m.Counter("target_crashes"), probes: m.Counter("quarantine_probes"), sent: m.Counter("quarantine_probes_sent"), refusals: m.Counter("requests_refused_for_quarantine"),
 		suspected: m.Gauge("parts_suspected"), listed: m.Gauge("parts_quarantined"),
-		reported: map[uint64]bool{}, refused: map[string]int{}, restored: map[string]uint64{}, records: map[string]quarantine.Record{}, countedAt: map[string]time.Time{},
+		awaited: map[uint64]*awaitedCrash{}, reported: map[uint64]bool{}, refused: map[string]int{}, restored: map[string]uint64{}, records: map[string]quarantine.Record{}, countedAt: map[string]time.Time{},
 	}
 }
 
@@ -309,11 +316,45 @@
 	for _, message := range crash.Report(weights, now) {
 		q.send(message)
 	}
+	q.learnCrash(crash, weights, now)
+}
+
+// learnCrash adds evidence of this or another instance.
+func (q *quarantineService) learnCrash(crash quarantine.Crash, weights int, now time.Time) {
 	answered, changes := q.tracker.LearnCrash(crash, weights, now)
+	q.mu.Lock()
+	if awaited := q.awaited[crash.Incarnation]; awaited != nil {
+		close(awaited.known)
+		delete(q.awaited, crash.Incarnation)
+	}
+	q.mu.Unlock()
 	q.sendAnswered(answered)
 	q.apply(changes)
 }
 
+// awaitCrash waits until an instance has reported the crash of an incarnation of a target, at most for the given time.
+func (q *quarantineService) awaitCrash(incarnation uint64, limit time.Duration) {
+	q.mu.Lock()
+	awaited := q.awaited[incarnation]
+	if awaited == nil {
+		awaited = &awaitedCrash{known: make(chan struct{})}
+		q.awaited[incarnation] = awaited
+	}
+	awaited.waiting++
+	q.mu.Unlock()
+	if _, known := q.tracker.CrashedAt(incarnation); !known {
+		select {
+		case <-awaited.known:
+		case <-time.After(limit):
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if awaited.waiting--; awaited.waiting == 0 && q.awaited[incarnation] == awaited {
+		delete(q.awaited, incarnation)
+	}
+}
+
 // handleDatagram processes a datagram. It returns false if it is not one of this service.
 func (q *quarantineService) handleDatagram(b []byte, from net.Addr) bool {
 	if !quarantine.IsMessage(b) {
@@ -326,9 +367,7 @@
 	}
 	now := time.Now()
 	if m.Crash != nil {
-		answered, changes := q.tracker.LearnCrash(m.Crash.Crash(now), m.Crash.Weights, now)
-		q.sendAnswered(answered)
-		q.apply(changes)
+		q.learnCrash(m.Crash.Crash(now), m.Crash.Weights, now)
 	}
 	for _, s := range m.Served {
 		q.apply(q.tracker.LearnServed(s.Part, s.At(now), now))
