--- a/internal/metapeer/metapeer.go
+++ b/internal/metapeer/metapeer.go
@@ -28,6 +28,8 @@
 	afterParam = "after"
 	// withinParam is the query parameter with the time in milliseconds within which the requesting instance expects an answer.
 	withinParam = "within"
+	// onlyReadParam, if it is not empty, leaves out changes that the answering instance has from another one.
+	onlyReadParam = "only_read"
 	// baseParam and baseRevisionParam name the large value that the requesting instance has: its key and the revision of that.
 	baseParam         = "base"
 	baseRevisionParam = "base_revision"
@@ -83,7 +85,11 @@
 	if err != nil {
 		return c.String(http.StatusBadRequest, withinParam+" is not a number of milliseconds")
 	}
-	u, ok := s.Mirror.ServeChanges(c.Request().Context(), after, min(time.Duration(within)*time.Millisecond, maxChangesWait))
+	serve := s.Mirror.ServeChanges
+	if c.QueryParam(onlyReadParam) != "" {
+		serve = s.Mirror.ServeRead
+	}
+	u, ok := serve(c.Request().Context(), after, min(time.Duration(within)*time.Millisecond, maxChangesWait))
 	if !ok || s.Stopping() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
@@ -200,7 +206,17 @@
 
 // Changes long-polls the instance at an address for the changes of the metadata after a revision.
 func (c *Client) Changes(ctx context.Context, address string, after uint64, within time.Duration) (metastore.Update, error) {
-	query := url.Values{afterParam: {strconv.FormatUint(after, 10)}, withinParam: {strconv.FormatInt(within.Milliseconds(), 10)}}
+	return c.poll(ctx, address, url.Values{}, after, within)
+}
+
+// Read is Changes for an instance that reads the store, which may leave out the changes that it has from another one.
+func (c *Client) Read(ctx context.Context, address string, after uint64, within time.Duration) (metastore.Update, error) {
+	return c.poll(ctx, address, url.Values{onlyReadParam: {"1"}}, after, within)
+}
+
+func (c *Client) poll(ctx context.Context, address string, query url.Values, after uint64, within time.Duration) (metastore.Update, error) {
+	query.Set(afterParam, strconv.FormatUint(after, 10))
+	query.Set(withinParam, strconv.FormatInt(within.Milliseconds(), 10))
 	var u metastore.Update
 	a, err := c.get(ctx, c.changes, address, changesPath, query, within+changesMargin+c.queueTime, &u, "AsOf", "Age", "Held", "Whole")
 	if err != nil || a == nil {
--- a/internal/metastore/mirror.go
+++ b/internal/metastore/mirror.go
@@ -105,6 +105,11 @@
 	// Upstreams returns the instances to poll for changes in place of the store, in order of preference. If it is nil or
 	// returns none, the store is watched directly.
 	Upstreams func() []string
+	// Readers returns the delay of large answers of the store, negative for none, and the instances to poll for changes meanwhile (see the
+	// function Readers). If it is nil, no answer is delayed.
+	Readers func() (delay time.Duration, others []string)
+	// FetchRead is FetchChanges for one of the Readers, which may leave out what it has from another one.
+	FetchRead func(ctx context.Context, reader string, after uint64, within time.Duration) (Update, error)
 	// FetchChanges long-polls an upstream for the changes after a revision. It returns at the next change or confirmation, or
 	// an error once the time within has passed.
 	FetchChanges func(ctx context.Context, upstream string, after uint64, within time.Duration) (Update, error)
@@ -133,12 +138,15 @@
 	replaced    replacedValues
 	receiving   atomic.Pointer[transfer.Tracker] // of the call of the store under way, nil if there is none
 	receivedAt  atomic.Int64                     // by Clock, end of the last large answer of the store; zero: there was none
+	relayed     atomic.Bool                      // another instance sent the latest changes
 	upstreams   upstreamSelector
 	ageReport   *ageReport
 	confirmedAt atomic.Int64 // by Clock, when the state last matched the store; zero: never
 	steadySince atomic.Int64 // by Clock, the first such time after the last outage during which leases can have expired
 	recoveredAt atomic.Pointer[time.Time]
 
+	turnUntil   time.Duration // by Clock, until when a large answer is read without waiting for the turn; used by Run only
+	lastSlow    bool          // the last answer of the store took so long that its readers take turns; used by Run only
 	onlySkipped bool          // the last watch returned nothing but keys that are left out; used by Run only
 	unreachable atomic.Bool   // set after two failed calls in a row
 	mu          sync.Mutex    // guards callEnded
@@ -295,8 +303,11 @@
 		// One failed call says little of the store: the own link, or an upstream that fell silent before, can be the cause.
 		recovering := failures > 1
 		if !synced {
+			before, _ := m.Base()
 			err = m.resync(ctx, recovering)
-			synced = err == nil
+			after, _ := m.Base()
+			// While a large value changes more often than it can be read, the changes are more bytes than all keys.
+			synced = err == nil && (!m.lastSlow || after.Revision == before.Revision)
 		} else {
 			// After failures, too, only what has changed is read: all keys are many times as many bytes, and all instances may come back at
 			// the same time.
@@ -307,6 +318,10 @@
 				continue
 			}
 		}
+		if errors.Is(err, errTurn) {
+			synced = false
+			continue
+		}
 		now := time.Now()
 		if err == nil {
 			if failures > 0 {
@@ -340,14 +355,16 @@
 // resync reads all items again. recovering is set after an outage. It returns errStaleRead if the store returns an older
 // revision than the known one.
 func (m *Mirror) resync(ctx context.Context, recovering bool) error {
-	calledAt := m.opts.Clock()
+	var calledAt time.Duration
+	var knownAsOf uint64 // when the call began
 	var omit []string
 	if m.opts.SkipPrefix != "" {
 		omit = []string{m.opts.SkipPrefix}
 	}
 	var items []Item
 	var asOf uint64
-	err := m.receive(ctx, "store, all keys", func(ctx context.Context) (err error) {
+	err := m.receive(ctx, "store, all keys", func(ctx context.Context, after uint64) (err error) {
+		knownAsOf, calledAt = after, m.opts.Clock()
 		items, asOf, err = m.opts.Store.Range(ctx, m.opts.Prefix, omit...)
 		return err
 	})
@@ -358,11 +375,16 @@
 		return err
 	}
 	if asOf < m.asOf {
+		if asOf >= knownAsOf {
+			m.confirm(calledAt) // other instances sent newer changes meanwhile
+			return nil
+		}
 		return fmt.Errorf("%w: revision %d, known %d", errStaleRead, asOf, m.asOf)
 	}
 	if recovering {
 		m.recordRecovery(ctx) // before OnChange is called: missing records may have expired
 	}
+	m.relayed.Store(false)
 	m.replace(items, asOf)
 	m.confirm(calledAt)
 	return nil
@@ -408,14 +430,16 @@
 	if m.awaitUpstreamChanges(ctx) {
 		return nil
 	}
-	calledAt, wait := m.opts.Clock(), m.nextWatchWait()
+	var calledAt time.Duration
+	wait := m.nextWatchWait()
 	if failed {
 		wait = minWatchWait // the answer tells soon that the store is back
 	}
 	var events []Event
 	var asOf uint64
-	err := m.receive(ctx, "store, changes", func(ctx context.Context) (err error) {
-		events, asOf, err = m.opts.Store.Watch(ctx, m.opts.Prefix, m.asOf, wait)
+	err := m.receive(ctx, "store, changes", func(ctx context.Context, after uint64) (err error) {
+		calledAt = m.opts.Clock()
+		events, asOf, err = m.opts.Store.Watch(ctx, m.opts.Prefix, after, wait)
 		return err
 	})
 	if errors.Is(err, errSuperseded) {
@@ -436,6 +460,9 @@
 	if recovering {
 		m.recordRecovery(ctx) // before OnChange is called: records that were deleted may have expired
 	}
+	if asOf > m.asOf {
+		m.relayed.Store(false)
+	}
 	m.apply(events, asOf)
 	m.confirm(respondedAt)
 	return nil
@@ -451,6 +478,14 @@
 
 // apply applies events, skipping those that are already known, and advances the state to revision asOf.
 func (m *Mirror) apply(events []Event, asOf uint64) {
+	// The state has all changes up to its revision, so an older event is of a call that began before it.
+	received := events
+	events = make([]Event, 0, len(received))
+	for _, e := range received {
+		if e.Revision > m.asOf {
+			events = append(events, e)
+		}
+	}
 	for _, e := range events {
 		old, ok := m.items[e.Key]
 		switch {
@@ -480,6 +515,9 @@
 // nextWatchWait returns the wait of the next watch. It is shorter after a watch that returned changes, since that one confirms
 // only the time of its call; the state thus grows no older than without changes.
 func (m *Mirror) nextWatchWait() time.Duration {
+	if m.lastSlow {
+		return minWatchWait // the state that the answer held is as old as its transfer took
+	}
 	age, _ := m.Age()
 	return max(maxWatchWait+watchBatchDelay-age, minWatchWait)
 }
@@ -523,6 +561,7 @@
 		if age, known := m.Age(); known && age >= m.opts.MinExpiryOutage && !c.covers(age) {
 			m.setRecovered(age)
 		}
+		m.relayed.Store(true)
 		m.replace(c.Items, c.AsOf)
 	}
 	m.confirm(calledAt - c.Age)
--- a/internal/metastore/receive_test.go
+++ b/internal/metastore/receive_test.go
@@ -172,3 +172,93 @@
 		}
 	})
 }
+
+// reader returns options of a mirror that reads the store over a narrow link in turn, beside another reader of the store. The updates of that
+// one look older by a time.
+func reader(store metastore.Store, delay time.Duration, other *metastore.Mirror, older time.Duration) metastore.MirrorOptions {
+	return metastore.MirrorOptions{
+		Store:   store,
+		Readers: func() (time.Duration, []string) { return delay, []string{"other"} },
+		FetchRead: func(ctx context.Context, _ string, after uint64, within time.Duration) (metastore.Update, error) {
+			u, ok := other.ServeRead(ctx, after, within)
+			if !ok {
+				return metastore.Update{}, errRefused
+			}
+			u.Age += older
+			return u, nil
+		},
+	}
+}
+
+// Guards against a long transfer that is given up for the state of a reader which began before: the newer value that is on its way would come
+// a whole transfer later. What the other one sent must not be undone by the answer, which may be older in its turn.
+func TestOlderReadingEndsNoTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("large", []byte("old"))
+		other, _ := startMirror(t, metastore.MirrorOptions{Store: store})
+		narrow := newNarrowStore(store, transferTime)
+		_, get := startMirror(t, reader(narrow, 0, other, 10*time.Second))
+		time.Sleep(2 * time.Second)
+		if _, err := store.Commit(t.Context(), metastore.Txn{Puts: []metastore.Put{{Key: "large", Value: []byte("new")}, {Key: "removed", Value: []byte("x")}}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(batchTime)
+		store.Remove("removed")
+		time.Sleep(batchTime)
+		if large, removed := get("large"), get("removed"); large != "new" || removed != "" {
+			t.Errorf("%q and %q while the answer is on its way, want what the other reader sent", large, removed)
+		}
+		time.Sleep(transferTime - 3*batchTime)
+		if narrow.received.Load() != 1 || narrow.abandoned.Load() != 0 {
+			t.Errorf("%d large answers received and %d given up, want 1 and 0", narrow.received.Load(), narrow.abandoned.Load())
+		}
+		if removed := get("removed"); removed != "" {
+			t.Errorf("the removed key came back with the answer: %q", removed)
+		}
+	})
+}
+
+// Guards against links that stay full with what another reader has confirmed as the newest state.
+func TestConfirmedReadingEndsTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("large", []byte("old"))
+		other, _ := startMirror(t, metastore.MirrorOptions{Store: store})
+		narrow := newNarrowStore(store, transferTime)
+		_, get := startMirror(t, reader(narrow, 0, other, 0))
+		time.Sleep(2 * time.Second)
+		store.Put("large", []byte("new"))
+		if got := get("large"); got != "new" {
+			t.Errorf("the value is %q, although another reader has the new one", got)
+		}
+		time.Sleep(metastore.MaxHealthyAge)
+		if narrow.abandoned.Load() != 1 {
+			t.Errorf("%d large answers given up, want 1", narrow.abandoned.Load())
+		}
+	})
+}
+
+// Guards against readers that begin the same long transfer at the same moment, so that the next version waits for two transfers.
+func TestReadersBeginInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("large", []byte("old"))
+		other, _ := startMirror(t, metastore.MirrorOptions{Store: newNarrowStore(store, transferTime)})
+		narrow := newNarrowStore(store, transferTime)
+		const delay = time.Second
+		_, get := startMirror(t, reader(narrow, delay, other, 0))
+		time.Sleep(2 * time.Second)
+		reads := narrow.fullReads.Load()
+		store.Put("large", []byte("new"))
+		time.Sleep(delay - batchTime)
+		if narrow.abandoned.Load() != 1 || narrow.fullReads.Load() != reads {
+			t.Errorf("%d large answers given up and %d readings of all keys before the turn, want 1 and 0", narrow.abandoned.Load(), narrow.fullReads.Load()-reads)
+		}
+		store.Put("large", []byte("newer"))
+		time.Sleep(batchTime)
+		if got := get("large"); got != "newer" || narrow.fullReads.Load() != reads+1 {
+			t.Errorf("%q after %d readings of all keys in the turn, want the newer value after 1", got, narrow.fullReads.Load()-reads)
+		}
+	})
+}
--- a/internal/metastore/relay.go
+++ b/internal/metastore/relay.go
@@ -58,6 +58,44 @@
 	return upstreams
 }
 
+// Readers returns by how much self delays the beginning of large answers of the store behind the first instance that reads them, and the
+// addresses of the instances that begin first, without self. The instances that watch the store take turns, in all failure domains
+// together, so that a change that comes just after one has begun a long transfer is carried by the next one. The delay is negative if self
+// does not watch the store.
+func Readers(self string, members []delegate.Member) (delay time.Duration, others []string) {
+	type reader struct {
+		delegate.Member
+		preference int // in its failure domain
+	}
+	domains := map[string]struct{}{}
+	for _, m := range members {
+		domains[m.Domain] = struct{}{}
+	}
+	var readers []reader
+	for domain := range domains {
+		for i, m := range delegate.Choose(delegate.WatchMetadata, domain, members) {
+			readers = append(readers, reader{m, i})
+		}
+	}
+	// The widest links come first: their transfers end first.
+	slices.SortFunc(readers, func(a, b reader) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.preference, b.preference), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Name, b.Name))
+	})
+	turns := min(len(readers), maxReaderTurns)
+	delay = -1
+	for i, r := range readers {
+		if r.Name == self {
+			delay = time.Duration(i%turns) * staggeredTransfer / time.Duration(turns)
+		} else if i < turns {
+			others = append(others, r.Address)
+		}
+	}
+	if delay < 0 {
+		return -1, nil
+	}
+	return delay, others
+}
+
 // Update is an upstream's response to a poll for changes.
 type Update struct {
 	AsOf uint64
@@ -154,6 +192,17 @@
 // next confirmation by the store. It returns false if this instance has no fresh state either and is not receiving it, or if nothing happened
 // in the time within.
 func (m *Mirror) ServeChanges(ctx context.Context, after uint64, within time.Duration) (Update, bool) {
+	return m.serveChanges(ctx, after, within, false)
+}
+
+// ServeRead is ServeChanges for an instance that polls several readers of the store while a large answer is on its way. What this instance has
+// from another one is served at the end of the time within only, since the polling instance gets it from that one as well, and so is a
+// confirmation while this instance receives a large answer itself.
+func (m *Mirror) ServeRead(ctx context.Context, after uint64, within time.Duration) (Update, bool) {
+	return m.serveChanges(ctx, after, within, true)
+}
+
+func (m *Mirror) serveChanges(ctx context.Context, after uint64, within time.Duration, onlyRead bool) (Update, bool) {
 	calledAt := m.opts.Clock()
 	timer := time.NewTimer(within)
 	defer timer.Stop()
@@ -171,7 +220,7 @@
 		if !known || !receiving && (age > maxUpstreamAge || m.unreachable.Load()) {
 			return Update{}, false
 		}
-		if u, ok := serve(age, receiving); ok && (u.AsOf > after || !first) {
+		if u, ok := serve(age, receiving); ok && (u.AsOf > after && !(onlyRead && m.relayed.Load()) || u.AsOf == after && !first && !(onlyRead && receiving)) {
 			return u, true
 		}
 		select {
@@ -236,6 +285,8 @@
 // batchDelay returns the delay before the next call, during which changes accumulate.
 func (m *Mirror) batchDelay() time.Duration {
 	switch {
+	case m.lastSlow:
+		return 0 // changes have accumulated during the transfer
 	case m.upstreams.current != "":
 		return upstreamBatchDelay
 	case m.onlySkipped:
@@ -301,16 +352,27 @@
 		klog.InfoS("instance is receiving a large answer of the metadata store", "upstream", upstream, "age", u.Age, "revision", u.AsOf)
 		m.upstreams.receivingSince = m.opts.Clock()
 	}
-	if u.Whole {
-		items := make([]Item, len(u.Changes))
-		for i, e := range u.Changes {
-			items[i] = e.Item
-		}
-		m.replace(items, u.AsOf)
-	} else {
-		m.apply(u.Changes, u.AsOf)
+	if m.upstreams.receivingSince != 0 && u.AsOf > m.asOf {
+		m.upstreams.receivingSince = m.opts.Clock() // it passes on newer changes meanwhile
 	}
+	m.applyUpdate(u)
 	// The upstream received the poll after calledAt, so it responded at calledAt+Held at the earliest.
 	m.confirm(min(calledAt+u.Held, m.opts.Clock()) - u.Age)
 	return true
 }
+
+// applyUpdate applies an update, which must not be older than the state.
+func (m *Mirror) applyUpdate(u Update) {
+	if u.AsOf > m.asOf {
+		m.relayed.Store(true)
+	}
+	if !u.Whole {
+		m.apply(u.Changes, u.AsOf)
+		return
+	}
+	items := make([]Item, len(u.Changes))
+	for i, e := range u.Changes {
+		items[i] = e.Item
+	}
+	m.replace(items, u.AsOf)
+}
--- a/internal/metastore/relay_test.go
+++ b/internal/metastore/relay_test.go
@@ -306,3 +306,75 @@
 		}
 	})
 }
+
+// Guards against readers of the store that begin at the same moment, or that disagree about their turns.
+func TestReadersTakeTurns(t *testing.T) {
+	var members []delegate.Member
+	for i := range 12 {
+		members = append(members, delegate.Member{Name: fmt.Sprint("front-", i), Domain: fmt.Sprint("d", i%2), Address: fmt.Sprint("10.0.0.", i, ":1"), LinkMbps: 10})
+	}
+	members[7].LinkMbps = 200
+	delays := map[time.Duration]string{}
+	for _, m := range members {
+		delay, others := metastore.Readers(m.Name, members)
+		reversed := slices.Clone(members)
+		slices.Reverse(reversed)
+		if again, same := metastore.Readers(m.Name, reversed); again != delay || !slices.Equal(same, others) {
+			t.Errorf("%s: delay %v and readers %v, %v and %v by the members in another order", m.Name, delay, others, again, same)
+		}
+		if watches := len(metastore.Upstreams(m.Name, members)) == 0; watches != (delay >= 0) {
+			t.Errorf("%s watches the store: %v, has a turn: %v", m.Name, watches, delay >= 0)
+		}
+		if delay < 0 {
+			continue
+		}
+		if before, ok := delays[delay]; ok {
+			t.Errorf("%s and %s begin after the same delay %v", before, m.Name, delay)
+		}
+		delays[delay] = m.Name
+		if len(others) != 3 || slices.Contains(others, m.Address) {
+			t.Errorf("%s polls %v, want the three other readers", m.Name, others)
+		}
+	}
+	if len(delays) != 4 || delays[0] != members[7].Name {
+		t.Errorf("turns %v, want four, the first with the widest link", delays)
+	}
+}
+
+// Guards against the same large difference that a reader of the store gets from each of the others, as soon as one of them has read it.
+func TestReadLeavesOutRelayedChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		store.Put("a", []byte("1"))
+		reads, _ := startMirror(t, metastore.MirrorOptions{Store: store})
+		relays, get := startMirror(t, metastore.MirrorOptions{
+			Store: store, Upstreams: func() []string { return []string{"upstream"} },
+			FetchChanges: func(ctx context.Context, _ string, after uint64, within time.Duration) (metastore.Update, error) {
+				if u, ok := reads.ServeChanges(ctx, after, within); ok {
+					return u, nil
+				}
+				return metastore.Update{}, errRefused
+			},
+		})
+		get("a")
+		before := store.Put("a", []byte("2")) - 1
+		if get("a") != "2" {
+			t.Fatal("change missed")
+		}
+		for name, tt := range map[string]struct {
+			serve func(context.Context, uint64, time.Duration) (metastore.Update, bool)
+			soon  bool
+		}{
+			"read from the store":           {reads.ServeRead, true},
+			"relayed":                       {relays.ServeRead, false},
+			"relayed, for one that follows": {relays.ServeChanges, true},
+		} {
+			const within = 300 * time.Millisecond
+			calledAt := time.Now()
+			u, ok := tt.serve(t.Context(), before, within)
+			if soon := ok && u.AsOf > before && time.Since(calledAt) < within; soon != tt.soon {
+				t.Errorf("%s: served at once: %v, want %v", name, soon, tt.soon)
+			}
+		}
+	})
+}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,6 +124,18 @@
 	}
 }
 
+// Remaining returns the time that the rest of the answer takes at the rate of the time since it began.
+func (t *Tracker) Remaining(elapsed time.Duration) time.Duration {
+	received, total := t.received.Load(), t.total.Load()
+	switch {
+	case total <= received:
+		return 0 // it has come, or its size is unknown
+	case received == 0:
+		return math.MaxInt64
+	}
+	return time.Duration(float64(elapsed) * float64(total-received) / float64(received))
+}
+
 // String tells how far the transfer has come.
 func (t *Tracker) String() string {
 	return fmt.Sprintf("%d of %d bytes received", t.received.Load(), t.total.Load())
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -40,3 +41,22 @@
 		t.Errorf("upload of 39 KB is given %v, want 1 s", got)
 	}
 }
+
+// Guards against a wrong estimate of how long an answer still takes, by which readers of the store take turns.
+func TestRemaining(t *testing.T) {
+	for _, tt := range []struct {
+		received, total int64
+		want            time.Duration
+	}{
+		{25, 100, 3 * time.Second},
+		{100, 100, 0},
+		{25, -1, 0},
+		{0, 100, math.MaxInt64},
+	} {
+		tracker := NewTracker()
+		tracker.Update(tt.received, tt.total)
+		if got := tracker.Remaining(time.Second); got != tt.want {
+			t.Errorf("%d of %d bytes after a second: %v remain, want %v", tt.received, tt.total, got, tt.want)
+		}
+	}
+}
