--- a/internal/kvcache/transfer/transfer_test.go
+++ b/internal/kvcache/transfer/transfer_test.go
@@ -90,7 +90,7 @@
 type withoutDeadline struct{ rapid.TB }
 
 // minDelivered is the number of blocks that the drawn reads must deliver in all, so that the content of enough blocks is compared.
-const minDelivered = 800
+const minDelivered = 1000
 
 // checkReads runs the cases of TestReadsReturnOnlyCompleteCorrectBlocks under virtual time: the store evicts by the ages of blocks.
 func checkReads(t rapid.TB) {
