--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -144,6 +144,7 @@
 	p.mirror = metastore.NewMirror(metastore.MirrorOptions{
 		Store: p.store, Prefix: "", SkipPrefix: gateway.StreamPrefix, OnChange: p.state.OnChange, FetchPeerCopy: p.fetchCopy,
 		Upstreams: func() []string { return metastore.Upstreams(s.Name, p.state.Members()) }, FetchChanges: p.peers.Changes, MinExpiryOutage: minExpiryHeartbeats * s.HeartbeatInterval,
+		Readers: func() (time.Duration, []string) { return metastore.Readers(s.Name, p.state.Members()) }, FetchRead: p.peers.Read,
 		UrgentPrefixes: append(platform.UrgentPrefixes(), gateway.KeyPrefix), ReplacedBytes: replacedValues * int(s.ValueBytes),
 		OldAfter: min(s.DrainTimeout, s.ConfigDeadline), Metrics: scope,
 	})
