--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -134,8 +134,9 @@
 		if c.interrupted {
 			reason = "stopping, request incomplete"
 		}
+		phase := c.phase
 		c.mu.Unlock()
-		c.end(reason)
+		c.end(phase, reason)
 		return 0, nil, false
 	}
 	defer c.mu.Unlock()
@@ -167,14 +168,15 @@
 }
 
 // end ends a connection of which no handler has a request: it answers with refusal whatever the client may have sent or is sending,
-// and closes the sending direction. What comes after is discarded by Read. It does nothing if a request has come meanwhile.
-func (c *conn) end(reason string) {
+// and closes the sending direction. What comes after is discarded by Read. It does nothing if the connection is no longer in the given phase,
+// which must be phaseWaiting unless net/http itself waits for the rest of a head: once it has bytes, it may have a whole request.
+func (c *conn) end(phase connPhase, reason string) {
 	c.mu.Lock()
-	if c.phase != phaseWaiting && c.phase != phaseHead {
+	if c.phase != phase {
 		c.mu.Unlock()
 		return
 	}
-	partial := c.phase == phaseHead
+	partial := phase == phaseHead
 	c.phase, c.endReason = phaseEnded, reason
 	limit := c.server.closeBy(time.Now().Add(lingerTimeout))
 	c.recordRefused(partial)
@@ -204,7 +206,7 @@
 	waiting := c.phase == phaseWaiting
 	c.mu.Unlock()
 	if waiting && !unread(c.Conn) {
-		c.end("stopping")
+		c.end(phaseWaiting, "stopping")
 	}
 }
 
