httpserver: protocols, the question for the last request, IPv6

IsLast is the part of ClosesAfter that does not ask whether this server is stopping. An answer of HTTP/2 that closes its connection has net/http send GOAWAY and finish what has come, so it always counts as the last; an IPv4 address is listened at as before.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -242,11 +242,12 @@
 	c.received.bodyLength = bodyLength
 }
 
-// isLast reports whether nothing was received on the connection beyond the present request.
+// isLast reports whether nothing was received on the connection beyond the present request. For HTTP/2 it is always true: an answer that
+// closes the connection has it end with GOAWAY, after the requests that have come.
 func (c *conn) isLast() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.received.beyond()
+	return c.received.http2 || !c.received.beyond()
 }
 
 // Close implements net.Conn. Unless the client has closed its side, it first waits for that, up to a limit.
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -24,11 +25,16 @@
 	maxHandshakeTime = time.Second
 )
 
-// Listen listens at an IPv4 address, IP:port. Multipath TCP is not used: its sockets take no filters, by which a listener ends.
+// Listen listens at an address, IP:port; at one of IPv4, for IPv4 only. Multipath TCP is not used: its sockets take no filters, by which a
+// listener ends.
 func Listen(address string) (net.Listener, error) {
+	network := "tcp4"
+	if a, err := netip.ParseAddrPort(address); err == nil && a.Addr().Is6() {
+		network = "tcp"
+	}
 	var config net.ListenConfig
 	config.SetMultipathTCP(false)
-	return config.Listen(context.Background(), "tcp4", address)
+	return config.Listen(context.Background(), network, address)
 }
 
 // listener accepts the connections of a server. It ends without a reset of connections that clients have established: it refuses new
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -27,6 +27,8 @@
 	ErrorLog          *log.Logger
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
+	Protocols         *http.Protocols         // nil: HTTP/1
+	HTTP2             *http.HTTP2Config       // if Protocols has HTTP/2
 	WrapConn          func(net.Conn) net.Conn // wraps each accepted connection
 	// ConnContext adds to the context of a connection's requests. It is given the connection that WrapConn returned.
 	ConnContext func(context.Context, net.Conn) context.Context
@@ -74,6 +76,7 @@
 	s.endRequests = cancel
 	s.http = http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ErrorLog: o.ErrorLog, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout,
+		Protocols: o.Protocols, HTTP2: o.HTTP2,
 		BaseContext: func(net.Listener) context.Context { return base },
 		ConnState:   func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -100,6 +103,13 @@
 	return c != nil && c.server.stopping.Load() && c.isLast()
 }
 
+// IsLast reports whether no further request has come on the connection of r, for handlers that know of the stop themselves. A request of
+// HTTP/2, or one that did not come through a Server, always is the last: no answer closes its connection before the others.
+func IsLast(r *http.Request) bool {
+	c := connOf(r.Context())
+	return c == nil || c.isLast()
+}
+
 // Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
 func (s *Server) Serve(l net.Listener) error {
 	own := &listener{Listener: l, server: s, ended: make(chan struct{})}
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -381,3 +381,48 @@
 		})
 	}
 }
+
+// Guards against HTTP/2 without TLS that is not recognized, so that its connections are ended as those of HTTP/1, and against a listener
+// that takes no IPv6 address.
+func TestUnencryptedHTTP2(t *testing.T) {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Proto, " ", IsLast(r)) })
+	for _, address := range []string{"127.0.0.1:0", "[::1]:0"} {
+		server := New(Options{Handler: handler, Protocols: protocols})
+		l, err := Listen(address)
+		if err != nil {
+			if strings.HasPrefix(address, "[") {
+				t.Logf("no IPv6 on this machine: %v", err)
+				continue
+			}
+			t.Fatal(err)
+		}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(l) }()
+		only2 := new(http.Protocols)
+		only2.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{Protocols: only2}
+		for range 2 {
+			resp, err := (&http.Client{Transport: transport}).Get("http://" + l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || string(body) != "HTTP/2.0 true" {
+				t.Errorf("answer %q, %v, want HTTP/2.0 and the last request", body, err)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), stopLimit)
+		if err := server.Shutdown(ctx); err != nil {
+			t.Errorf("shutdown: %v", err)
+		}
+		cancel()
+		if err := <-served; err != http.ErrServerClosed {
+			t.Errorf("Serve returned %v", err)
+		}
+		transport.CloseIdleConnections()
+	}
+}
