httpserver: a planned stop before Serve answers what is queued

Callers would see: a connection that is established and then reset, if the signal comes between listen and Serve, and a stop that lasts until its limit. The stop did not know the listener: Drain ended without it, and Serve closed it with its queue, or served it after the phase that ends listeners.

Attach names the listener before Serve. The stop counts it as work until Serve has accepted what is queued; a listener that comes after that phase is ended at once.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -52,7 +52,7 @@
 	mu         sync.Mutex // guards the rest
 	conns      map[*conn]struct{}
 	lastAccept time.Time
-	listener   *listener // nil before Serve
+	listener   *listener // nil before Attach and Serve
 }
 
 type metrics struct {
@@ -110,13 +110,28 @@
 	return c == nil || c.isLast()
 }
 
-// Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
-func (s *Server) Serve(l net.Listener) error {
-	own := &listener{Listener: l, server: s, ended: make(chan struct{})}
+// Attach names the listener of a later Serve. A planned stop that begins before Serve then waits for it, to answer or refuse what is in the
+// listener's queue by then.
+func (s *Server) Attach(l net.Listener) {
+	s.attach(l)
+}
+
+func (s *Server) attach(l net.Listener) *listener {
 	s.mu.Lock()
-	s.listener = own
+	if s.listener == nil {
+		s.listener = &listener{Listener: l, server: s, ended: make(chan struct{})}
+	}
+	own := s.listener
 	s.mu.Unlock()
-	err := s.http.Serve(own)
+	if s.refusing.Load() {
+		own.end() // the stop did not know of it
+	}
+	return own
+}
+
+// Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(s.attach(l))
 	if errors.Is(err, errListenerEnded) || errors.Is(err, http.ErrServerClosed) {
 		<-s.stopped
 		return http.ErrServerClosed
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -382,6 +382,31 @@
 	}
 }
 
+// Guards against connections that are reset because a planned stop begins between listen and Serve.
+func TestShutdownBeforeServeAnswersTheQueue(t *testing.T) {
+	f := &fixture{t: t, server: New(Options{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})}
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address = l.Addr().String()
+	f.server.Attach(l)
+	c := f.dial()
+	c.send(get("/first"))
+	wait := f.shutdown(stopLimit)
+	served := make(chan error, 1)
+	go func() { served <- f.server.Serve(l) }()
+	if _, err := c.answer(); err != nil {
+		t.Error(err)
+	}
+	_ = c.Close()
+	begun := time.Now()
+	wait()
+	if err := <-served; err != http.ErrServerClosed || time.Since(begun) > stopLimit/2 {
+		t.Errorf("the stop took another %v, Serve returned %v", time.Since(begun), err)
+	}
+}
+
 // Guards against HTTP/2 without TLS that is not recognized, so that its connections are ended as those of HTTP/1, and against a listener
 // that takes no IPv6 address.
 func TestUnencryptedHTTP2(t *testing.T) {
