entry: a planned stop answers pipelined requests

Callers saw the first of several requests of a connection answered in a planned stop, and the others lost: "request 2 of 3: unexpected EOF". The middleware set "Connection: close" on each answer before the handler ran, and net/http closes the connection after it whatever was received.

The header is now set when the head of the answer is sent, and only if nothing more has come on the connection. A request that the server itself ends, with ErrStopping, no longer counts as one whose caller has left: "cause "instance is stopping": caller gone: true, want false".

--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/egrethoist/egrethoist/internal/burn"
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 )
 
 // BurnRecorder records request outcomes against the service level objectives of their service. Record must not block.
@@ -48,7 +49,8 @@
 
 // callerGone reports whether a request failed because the caller disconnected.
 func callerGone(callerCtx context.Context, fail *Error) bool {
-	return errors.Is(callerCtx.Err(), context.Canceled) || fail.Step == stepAnswerCaller
+	stopping := errors.Is(context.Cause(callerCtx), httpserver.ErrStopping) // the server has ended the request
+	return errors.Is(callerCtx.Err(), context.Canceled) && !stopping || fail.Step == stepAnswerCaller
 }
 
 // recordPiece records the arrival time of a piece of the response.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/internal/buffering"
 	"github.com/egrethoist/egrethoist/internal/drain"
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 	"github.com/egrethoist/egrethoist/internal/inflight"
 	"github.com/egrethoist/egrethoist/internal/limit"
 	"github.com/egrethoist/egrethoist/internal/peer"
@@ -153,12 +154,15 @@
 	return trace.Wrap(err, "waiting for requests at entry %v", e.opts.Name)
 }
 
-// closeWhenStopping is a middleware that closes connections during shutdown, so that callers reconnect to another entry.
+// closeWhenStopping is a middleware that closes connections during shutdown, so that callers reconnect to another entry. It does not while
+// further requests of the connection have come, which would be lost; their answers close it.
 func (e *Entry) closeWhenStopping(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if e.stopping.Load() {
-			c.Response().Header().Set("Connection", "close")
-		}
+		c.Response().Before(func() {
+			if e.stopping.Load() && httpserver.IsLast(c.Request()) {
+				c.Response().Header().Set("Connection", "close")
+			}
+		})
 		return next(c)
 	}
 }
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -100,7 +100,7 @@
 	}
 	s.closeIfBodyUnread()
 	h := s.answer.header()
-	connection := h.Values("Connection") // set by closeWhenStopping or closeIfBodyUnread
+	connection := h.Values("Connection") // set by closeIfBodyUnread
 	for name, values := range header {
 		h[name] = values
 	}
