--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 )
 
 const (
@@ -16,20 +18,36 @@
 
 // NewServer returns an HTTP server for HTTP/1.1 and HTTP/2. HTTP/2 is also accepted without TLS.
 func NewServer(handler http.Handler, tlsConfig *tls.Config) *http.Server {
-	s := &http.Server{
+	return &http.Server{
 		Handler:           handler,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: serverPingAfter,
-			PingTimeout:     serverPingTimeout,
-		},
+		HTTP2:             serverHTTP2(),
+		Protocols:         serverProtocols(),
+	}
+}
+
+// PlainOptions returns the options of a server for HTTP/1.1 and HTTP/2 without TLS, with the protocol settings of NewServer.
+func PlainOptions(name string, handler http.Handler) httpserver.Options {
+	return httpserver.Options{
+		Name:              name,
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2:             serverHTTP2(),
+		Protocols:         serverProtocols(),
 	}
-	s.Protocols = new(http.Protocols)
-	s.Protocols.SetHTTP1(true)
-	s.Protocols.SetHTTP2(true)
-	s.Protocols.SetUnencryptedHTTP2(true)
-	return s
+}
+
+func serverHTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: serverPingAfter, PingTimeout: serverPingTimeout}
+}
+
+func serverProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
 }
 
 // compressMinBytes is the size from which a message is compressed. The chunks of a streamed response are far smaller: compressing
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,7 @@
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/internal/distribution"
 	"github.com/egrethoist/egrethoist/internal/distribution/plan"
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 	"github.com/egrethoist/egrethoist/internal/mtls"
 	"github.com/egrethoist/egrethoist/internal/peer"
 	"github.com/egrethoist/egrethoist/internal/platform"
@@ -53,10 +54,12 @@
 	Metrics   http.Handler
 	Describe  func(*statusz.Process) // completes what /statusz tells; nil adds nothing
 
-	group  run.Group
-	tls    *mtls.Source // nil without TLS between our own processes
-	spread *distribution.Distributor
-	ready  func() error
+	group   run.Group
+	drained chan struct{}        // closed when a planned stop has ended, or the process ends without one
+	servers []*httpserver.Server // end with a planned stop, before any actor is interrupted
+	tls     *mtls.Source         // nil without TLS between our own processes
+	spread  *distribution.Distributor
+	ready   func() error
 }
 
 // Options of a process.
@@ -69,7 +72,7 @@
 
 // New prepares a process. Nothing runs before Run.
 func New(o Options) (*Process, error) {
-	p := &Process{Settings: o.Settings}
+	p := &Process{Settings: o.Settings, drained: make(chan struct{})}
 	if err := p.secure(); err != nil {
 		return nil, err
 	}
@@ -192,15 +195,21 @@
 
 // ServePeers serves entries and sidecars, under TLS if the settings name keys.
 func (p *Process) ServePeers(addr units.Address, h http.Handler) error {
-	if p.tls == nil {
-		return p.serve("peers", addr, h, nil)
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return trace.Wrap(err, "listen for peers")
+	}
+	if p.tls != nil {
+		l = tls.NewListener(l, p.tls.ServerConfig(mtls.RoleEntry, mtls.RoleSidecar))
 	}
-	return p.serve("peers", addr, h, p.tls.ServerConfig(mtls.RoleEntry, mtls.RoleSidecar))
+	server := peer.NewServer(h, nil)
+	p.addServer("peers", l, server.Serve, func() { stopServer(server) })
+	return nil
 }
 
 // ServeCallers serves callers in plain HTTP; the platform's balancer ends their TLS.
 func (p *Process) ServeCallers(addr units.Address, h http.Handler) error {
-	return p.serve("callers", addr, h, nil)
+	return p.servePlain("callers", addr, h)
 }
 
 // ServeAdmin serves health, readiness and metrics, if the settings give an address.
@@ -213,7 +222,7 @@
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { p.answerReady(w, ready) })
 	mux.HandleFunc("/statusz", p.answerStatus)
 	mux.Handle("/metrics", p.Metrics)
-	return p.serve("admin", p.Settings.Admin, mux, nil)
+	return p.servePlain("admin", p.Settings.Admin, mux)
 }
 
 func (p *Process) answerReady(w http.ResponseWriter, ready func() error) {
@@ -228,24 +237,51 @@
 	w.Write([]byte("ready\n"))
 }
 
-// serve listens at once, so that a taken address fails the start, and serves from Run on.
-func (p *Process) serve(name string, addr units.Address, h http.Handler, tlsConfig *tls.Config) error {
-	l, err := net.Listen("tcp", addr.String())
+// servePlain listens at once, so that a taken address fails the start, and serves from Run on. A planned stop answers or refuses whatever
+// was sent to the server.
+func (p *Process) servePlain(name string, addr units.Address, h http.Handler) error {
+	l, err := httpserver.Listen(addr.String())
 	if err != nil {
 		return trace.Wrap(err, "listen for %v", name)
 	}
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
-	}
-	server := peer.NewServer(h, nil)
-	klog.InfoS("listening", "name", p.Settings.Name, "for", name, "address", addr.String())
+	o := peer.PlainOptions(name, h)
+	o.Metrics = p.Scope
+	server := httpserver.New(o)
+	server.Attach(l) // a planned stop may begin before Serve
+	p.servers = append(p.servers, server)
+	p.addServer(name, l, server.Serve, func() { endServer(server) })
+	return nil
+}
+
+// addServer adds an actor that serves connections of a listener.
+func (p *Process) addServer(name string, l net.Listener, serve func(net.Listener) error, stop func()) {
+	klog.InfoS("listening", "name", p.Settings.Name, "for", name, "address", l.Addr().String())
 	p.group.Add(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err, "serve %v", name)
 		}
+		<-p.drained // the server of Serve has ended, perhaps not the others
 		return nil
-	}, func(error) { stopServer(server) })
-	return nil
+	}, func(error) { stop() })
+}
+
+// endServer ends a server within serverStopLimit. It does nothing if the server has ended.
+func endServer(server *httpserver.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), serverStopLimit)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		klog.InfoS("connections closed before they were answered", "err", err.Error())
+		_ = server.Close() // the listener has ended
+	}
+}
+
+// endServers ends all servers of ServeCallers and ServeAdmin.
+func (p *Process) endServers() {
+	var ends sync.WaitGroup
+	for _, server := range p.servers {
+		ends.Go(func() { endServer(server) })
+	}
+	ends.Wait()
 }
 
 func stopServer(server *http.Server) {
@@ -256,12 +292,13 @@
 	}
 }
 
-// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end before
-// any actor is interrupted, since requests under way need all of them.
+// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end, after it the servers for callers
+// and admin end, before any actor is interrupted, since requests under way need all of them.
 func (p *Process) Run(shutdown func(ctx context.Context) error) error {
 	stop := make(chan os.Signal, 1)
 	done := make(chan struct{})
 	p.group.Add(func() error {
+		defer close(p.drained)
 		signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 		select {
 		case s := <-stop:
@@ -271,7 +308,9 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.Settings.DrainTimeout))
 		defer cancel()
-		return shutdown(ctx)
+		err := shutdown(ctx)
+		p.endServers()
+		return err
 	}, func(error) { close(done) })
 	err := p.group.Run()
 	p.Peers.Close()
