process: signals are caught from before the first listener to the end

Callers saw connections reset: SIGTERM between listen and Run, and SIGHUP at any time, killed the process by their default action, with what was in the listeners' queues. signal.Notify was called only in Run, and never for SIGHUP.

New now asks for the signals and nothing gives them up. A signal to stop waits for Run; SIGHUP is logged and ignored, on a channel of its own, so that it can't take the place of SIGTERM.

Evidence, TestSignals before: "process ended with signal: terminated" and "signal: hangup", want a planned stop.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -55,6 +55,7 @@
 	Describe  func(*statusz.Process) // completes what /statusz tells; nil adds nothing
 
 	group   run.Group
+	signals signals
 	drained chan struct{}        // closed when a planned stop has ended, or the process ends without one
 	servers []*httpserver.Server // end with a planned stop, before any actor is interrupted
 	tls     *mtls.Source         // nil without TLS between our own processes
@@ -70,9 +71,23 @@
 	Entries func() ([]plan.Peer, uint64)
 }
 
-// New prepares a process. Nothing runs before Run.
+// signals receive what the operating system sends to the process, from before the first listener until the process ends: a signal with its
+// default action would kill the process with connections in a listener's queue.
+type signals struct {
+	stop   chan os.Signal // SIGINT and SIGTERM
+	hangUp chan os.Signal // SIGHUP; a channel of its own, so that it can't displace a signal to stop
+}
+
+func newSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), hangUp: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.hangUp, syscall.SIGHUP)
+	return s
+}
+
+// New prepares a process. Nothing runs before Run, but from now on a signal to stop waits for Run.
 func New(o Options) (*Process, error) {
-	p := &Process{Settings: o.Settings, drained: make(chan struct{})}
+	p := &Process{Settings: o.Settings, signals: newSignals(), drained: make(chan struct{})}
 	if err := p.secure(); err != nil {
 		return nil, err
 	}
@@ -295,15 +310,10 @@
 // Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end, after it the servers for callers
 // and admin end, before any actor is interrupted, since requests under way need all of them.
 func (p *Process) Run(shutdown func(ctx context.Context) error) error {
-	stop := make(chan os.Signal, 1)
 	done := make(chan struct{})
 	p.group.Add(func() error {
 		defer close(p.drained)
-		signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-		select {
-		case s := <-stop:
-			klog.InfoS("planned stop", "name", p.Settings.Name, "signal", s.String())
-		case <-done:
+		if !p.awaitStop(done) {
 			return nil
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.Settings.DrainTimeout))
@@ -317,6 +327,21 @@
 	return err
 }
 
+// awaitStop waits for a signal that asks for a planned stop. It returns false if done is closed first.
+func (p *Process) awaitStop(done <-chan struct{}) bool {
+	for {
+		select {
+		case s := <-p.signals.stop:
+			klog.InfoS("planned stop", "name", p.Settings.Name, "signal", s.String())
+			return true
+		case <-p.signals.hangUp:
+			klog.InfoS("signal ignored, settings are read at start", "name", p.Settings.Name, "signal", syscall.SIGHUP.String())
+		case <-done:
+			return false
+		}
+	}
+}
+
 // Config gives the configuration in force to entries and sidecars.
 type Config struct {
 	spread  *distribution.Distributor
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/exec"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -89,7 +91,6 @@
 
 // stop sends the signal for a planned stop to the process under test, which is this one.
 func stop(t *testing.T) {
-	time.Sleep(50 * time.Millisecond) // until Run waits for signals
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -185,3 +186,41 @@
 		t.Errorf("%d of %d requests lost, the last with: %v", failed, len(callers), last)
 	}
 }
+
+// signalTest is the environment variable that makes the test binary the process of TestSignals.
+const signalTest = "EGRET_TEST_SIGNALS"
+
+// Guards against a signal that kills the process by its default action, with connections in a listener's queue: SIGTERM between listen and
+// Run, SIGHUP at any time.
+func TestSignals(t *testing.T) {
+	if order := os.Getenv(signalTest); order != "" {
+		p, _ := newTestProcess(t)
+		for name := range strings.SplitSeq(order, ",") {
+			sig := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[name]
+			if err := syscall.Kill(os.Getpid(), sig); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond) // signals are asynchronous
+		}
+		err := p.Run(func(context.Context) error {
+			fmt.Println("drained")
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	for _, order := range []string{"TERM", "HUP,TERM", "HUP,HUP,TERM"} {
+		t.Run(order, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			cmd := exec.CommandContext(ctx, os.Args[0], "-test.run=^TestSignals$")
+			cmd.Env = append(os.Environ(), signalTest+"="+order)
+			out, err := cmd.CombinedOutput()
+			if err != nil || !strings.Contains(string(out), "drained") {
+				t.Errorf("process ended with %v, want a planned stop; its output:\n%s", err, out)
+			}
+		})
+	}
+}
