peer, entry: a call that a stopping peer has not processed is not unknown

Callers saw "unknown" for requests with a body that a sidecar was sent while it stopped, although none ran. After the GOAWAY of a planned stop net/http aborts the streams that it does not name, which by RFC 9113 were not processed; but since their bodies can't be sent again it reports "cannot retry err [http2: Transport received Server's graceful shutdown GOAWAY] after Request.Body was written", which the entry took for a lost connection.

The client returns a StoppingError then, only for the transport's own error and not for text of a peer, and the entry takes it as not run, like a failed dial. StoppingError holds the inner error: connect looks for url.Error and drops what wraps it.

--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -240,15 +240,16 @@
 func (d *dispatch) connectionFailed(ctx context.Context, c *routing.Candidate, res *result, step string, err error) {
 	d.assembler.AbandonAttempt()
 	res.failure = retry.FailureLink
-	var dial *peer.DialError
 	switch {
 	case d.sender.readError() != nil:
 		d.applyEvent(res, attempt.Cancelled)
 		res.err = d.bodyError(d.sender.readError())
-	case errors.As(err, &dial):
-		// No connection was made, so no byte of the request was sent.
+	case peer.NotProcessed(err):
+		if peer.NotConnected(err) {
+			step = "dial"
+		}
 		d.applyEvent(res, attempt.FailedNotRun)
-		res.err = &Error{Code: CodeUnavailable, Step: "dial", Peer: c.Target, Message: err.Error(), RetryAfter: time.Second}
+		res.err = &Error{Code: CodeUnavailable, Step: step, Peer: c.Target, Message: err.Error(), RetryAfter: time.Second}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		d.applyEvent(res, attempt.TimedOut)
 		res.err = &Error{Code: CodeDeadline, Step: step, Peer: c.Target, Message: "deadline passed"}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -84,12 +84,17 @@
 	return "http://" + c.opts.Addr
 }
 
-// Do sends a request and implements connect.HTTPClient. The error wraps a DialError if no connection could be established.
+// Do sends a request and implements connect.HTTPClient. The error wraps a DialError if no connection could be established, and a
+// StoppingError if the peer has not processed the request since it is stopping.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	c.mu.Lock()
 	h := c.http
 	c.mu.Unlock()
-	return h.Do(req)
+	resp, err := h.Do(req)
+	if err != nil {
+		err = stoppingError(c.opts.Addr, err)
+	}
+	return resp, err
 }
 
 // CloseConnections closes every connection. In-flight calls fail; later calls open a new connection.
