httpserver: TLS, for servers for peers

The connections of a Server stay below TLS, so that net/http gets its *tls.Conn. What comes on them can't be followed, as with HTTP/2: a planned stop leaves them to the GOAWAY of net/http, but accepts what the listener has queued before, and closes each connection only when the client has closed its side or the stop's time is over. HTTP/1 over TLS is served as by net/http alone.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -62,6 +63,23 @@
 	refused     bool   // a request was sent on the connection that the server has ended
 }
 
+// newConn returns a connection of a server. Under TLS the received bytes can't be followed, as those of HTTP/2.
+func newConn(inner net.Conn, s *Server) *conn {
+	c := &conn{Conn: inner, server: s}
+	if s.opts.TLS != nil {
+		c.phase, c.received = phaseHandler, requestBytes{some: true, http2: true}
+	}
+	return c
+}
+
+// ownConn returns the connection of a server that net/http has been given, perhaps within TLS.
+func ownConn(c net.Conn) *conn {
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	return c.(*conn)
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -64,7 +64,7 @@
 		if l.server.opts.WrapConn != nil {
 			inner = l.server.opts.WrapConn(inner)
 		}
-		c := &conn{Conn: inner, server: l.server}
+		c := newConn(inner, l.server)
 		l.server.remember(c, time.Now())
 		return c, nil
 	}
--- a/internal/httpserver/received.go
+++ b/internal/httpserver/received.go
@@ -11,7 +11,7 @@
 
 // requestBytes follows the received bytes of a connection as far as is needed to tell whether something follows the present request.
 type requestBytes struct {
-	http2      bool
+	http2      bool  // of HTTP/2 or TLS: the bytes are not followed
 	some       bool  // bytes were received
 	unknown    bool  // bytes of the present request came with an earlier one, and its head was not followed
 	headDone   bool  // the head is complete
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log"
 	"net"
@@ -27,9 +28,11 @@
 	ErrorLog          *log.Logger
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
-	Protocols         *http.Protocols         // nil: HTTP/1
-	HTTP2             *http.HTTP2Config       // if Protocols has HTTP/2
-	WrapConn          func(net.Conn) net.Conn // wraps each accepted connection
+	Protocols         *http.Protocols   // nil: HTTP/1
+	HTTP2             *http.HTTP2Config // if Protocols has HTTP/2
+	// TLS encrypts all connections; nil: none. What comes on them is not followed, so it protects requests of HTTP/2 only at a planned stop.
+	TLS      *tls.Config
+	WrapConn func(net.Conn) net.Conn // wraps each accepted connection
 	// ConnContext adds to the context of a connection's requests. It is given the connection that WrapConn returned.
 	ConnContext func(context.Context, net.Conn) context.Context
 	Metrics     tally.Scope
@@ -78,12 +81,13 @@
 		Handler: http.HandlerFunc(s.serveHTTP), ErrorLog: o.ErrorLog, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout,
 		Protocols: o.Protocols, HTTP2: o.HTTP2,
 		BaseContext: func(net.Listener) context.Context { return base },
-		ConnState:   func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
+		ConnState:   func(c net.Conn, state http.ConnState) { ownConn(c).setState(state) },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			own := ownConn(c)
 			if o.ConnContext != nil {
-				ctx = o.ConnContext(ctx, c.(*conn).Conn)
+				ctx = o.ConnContext(ctx, own.Conn)
 			}
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(ctx, connKey{}, own)
 		},
 	}
 	return s
@@ -131,7 +135,11 @@
 
 // Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(s.attach(l))
+	l = s.attach(l)
+	if s.opts.TLS != nil {
+		l = tls.NewListener(l, s.opts.TLS)
+	}
+	err := s.http.Serve(l)
 	if errors.Is(err, errListenerEnded) || errors.Is(err, http.ErrServerClosed) {
 		<-s.stopped
 		return http.ErrServerClosed
