process, peer: a planned stop of a server for peers resets no connection

Entries saw connections to a stopping sidecar reset, and took the requests on them for "unknown" although none ran. A second after its GOAWAY net/http closes a connection, whatever is unread on it by then; the reset also destroys the GOAWAY for a client that is slow to read. The listener's queue was reset as well.

Servers for peers are httpserver's now, with and without TLS: connections are half closed until the client has closed its side, so that the GOAWAY arrives, and proves that what was sent after it has not run. All servers of a process end at the same time, before other components are stopped. peer.NewServer is left to stand-ins and tests.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,11 +27,13 @@
 	}
 }
 
-// PlainOptions returns the options of a server for HTTP/1.1 and HTTP/2 without TLS, with the protocol settings of NewServer.
-func PlainOptions(name string, handler http.Handler) httpserver.Options {
+// ServerOptions returns the options of a server for HTTP/1.1 and HTTP/2, with TLS unless tlsConfig is nil. HTTP/2 is also accepted without
+// TLS.
+func ServerOptions(name string, handler http.Handler, tlsConfig *tls.Config) httpserver.Options {
 	return httpserver.Options{
 		Name:              name,
 		Handler:           handler,
+		TLS:               tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
 		HTTP2:             serverHTTP2(),
 		Protocols:         serverProtocols(),
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -210,21 +209,15 @@
 
 // ServePeers serves entries and sidecars, under TLS if the settings name keys.
 func (p *Process) ServePeers(addr units.Address, h http.Handler) error {
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return trace.Wrap(err, "listen for peers")
-	}
-	if p.tls != nil {
-		l = tls.NewListener(l, p.tls.ServerConfig(mtls.RoleEntry, mtls.RoleSidecar))
+	if p.tls == nil {
+		return p.serve("peers", addr, h, nil)
 	}
-	server := peer.NewServer(h, nil)
-	p.addServer("peers", l, server.Serve, func() { stopServer(server) })
-	return nil
+	return p.serve("peers", addr, h, p.tls.ServerConfig(mtls.RoleEntry, mtls.RoleSidecar))
 }
 
 // ServeCallers serves callers in plain HTTP; the platform's balancer ends their TLS.
 func (p *Process) ServeCallers(addr units.Address, h http.Handler) error {
-	return p.servePlain("callers", addr, h)
+	return p.serve("callers", addr, h, nil)
 }
 
 // ServeAdmin serves health, readiness and metrics, if the settings give an address.
@@ -237,7 +230,7 @@
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { p.answerReady(w, ready) })
 	mux.HandleFunc("/statusz", p.answerStatus)
 	mux.Handle("/metrics", p.Metrics)
-	return p.servePlain("admin", p.Settings.Admin, mux)
+	return p.serve("admin", p.Settings.Admin, mux, nil)
 }
 
 func (p *Process) answerReady(w http.ResponseWriter, ready func() error) {
@@ -252,32 +245,27 @@
 	w.Write([]byte("ready\n"))
 }
 
-// servePlain listens at once, so that a taken address fails the start, and serves from Run on. A planned stop answers or refuses whatever
+// serve listens at once, so that a taken address fails the start, and serves from Run on. A planned stop answers or refuses whatever
 // was sent to the server.
-func (p *Process) servePlain(name string, addr units.Address, h http.Handler) error {
+func (p *Process) serve(name string, addr units.Address, h http.Handler, tlsConfig *tls.Config) error {
 	l, err := httpserver.Listen(addr.String())
 	if err != nil {
 		return trace.Wrap(err, "listen for %v", name)
 	}
-	o := peer.PlainOptions(name, h)
+	o := peer.ServerOptions(name, h, tlsConfig)
 	o.Metrics = p.Scope
 	server := httpserver.New(o)
 	server.Attach(l) // a planned stop may begin before Serve
 	p.servers = append(p.servers, server)
-	p.addServer(name, l, server.Serve, func() { endServer(server) })
-	return nil
-}
-
-// addServer adds an actor that serves connections of a listener.
-func (p *Process) addServer(name string, l net.Listener, serve func(net.Listener) error, stop func()) {
-	klog.InfoS("listening", "name", p.Settings.Name, "for", name, "address", l.Addr().String())
+	klog.InfoS("listening", "name", p.Settings.Name, "for", name, "address", addr.String())
 	p.group.Add(func() error {
-		if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err, "serve %v", name)
 		}
 		<-p.drained // the server of Serve has ended, perhaps not the others
 		return nil
-	}, func(error) { stop() })
+	}, func(error) { endServer(server) })
+	return nil
 }
 
 // endServer ends a server within serverStopLimit. It does nothing if the server has ended.
@@ -290,7 +278,7 @@
 	}
 }
 
-// endServers ends all servers of ServeCallers and ServeAdmin.
+// endServers ends all servers.
 func (p *Process) endServers() {
 	var ends sync.WaitGroup
 	for _, server := range p.servers {
@@ -299,16 +287,8 @@
 	ends.Wait()
 }
 
-func stopServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), serverStopLimit)
-	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		server.Close()
-	}
-}
-
-// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end, after it the servers for callers
-// and admin end, before any actor is interrupted, since requests under way need all of them.
+// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end, after it the servers end, before any
+// actor is interrupted, since requests under way need all of them.
 func (p *Process) Run(shutdown func(ctx context.Context) error) error {
 	done := make(chan struct{})
 	p.group.Add(func() error {
