process: planned stop of a server for peers with TLS in the tests

A process with keys serves a role over HTTP/2, and its planned stop answers or refuses each call of a client that goes on. The test of idle connections had a data race between the test and its drain, found with -race: the drain now waits for the list of connections.

--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,10 @@
 	"testing"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/devkeys"
 	"github.com/egrethoist/egrethoist/internal/distribution/plan"
+	"github.com/egrethoist/egrethoist/internal/mtls"
+	"github.com/egrethoist/egrethoist/internal/peer"
 	"github.com/egrethoist/egrethoist/internal/settings"
 	"github.com/egrethoist/egrethoist/internal/units"
 )
@@ -102,9 +106,10 @@
 	const connections = 200
 	p, address := newTestProcess(t)
 	var callers []*caller
-	drained, ended := make(chan struct{}), make(chan error, 1)
+	connected, drained, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
 	drain := func(context.Context) error {
 		defer close(drained)
+		<-connected
 		for _, c := range callers {
 			if err := c.send(); err != nil {
 				t.Errorf("send: %v", err)
@@ -126,6 +131,7 @@
 			t.Fatal(err)
 		}
 	}
+	close(connected)
 	stop(t)
 	<-drained
 	readAll(t, callers)
@@ -224,3 +230,68 @@
 		})
 	}
 }
+
+// Guards against servers for peers that serve under TLS without HTTP/2 or without the client's certificate, or whose planned stop leaves a
+// call without an answer.
+func TestPlannedStopOfServerForPeersWithTLS(t *testing.T) {
+	dir := t.TempDir()
+	holder := devkeys.Holder{
+		Name: "entry-1", Roles: []mtls.Role{mtls.RoleEntry, mtls.RoleSidecar}, IPs: []netip.Addr{netip.MustParseAddr("127.0.0.1")},
+	}
+	if err := devkeys.Issue(dir, holder, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(Options{
+		Settings: settings.Process{
+			Name: "entry-1", KeyValue: servePlatform(t, "entry-1"), DrainTimeout: units.Duration(10 * time.Second),
+			TLS: &settings.TLS{
+				Cert: filepath.Join(dir, "entry-1.pem"), Key: filepath.Join(dir, "entry-1-key.pem"), CA: filepath.Join(dir, devkeys.CAFile),
+			},
+		},
+		Self: plan.Peer{Name: "entry-1", Role: plan.RoleEntry},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := freeAddress(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) })
+	if err := p.ServePeers(address, mtls.RequireRole(handler, mtls.RoleEntry)); err != nil {
+		t.Fatal(err)
+	}
+	c := peer.NewClient(peer.Options{Addr: address.String(), TLS: p.TLSFunc(mtls.RoleEntry)})
+	defer c.Close()
+	call := func() error {
+		req, err := http.NewRequest(http.MethodPost, c.URL(), struct{ io.Reader }{strings.NewReader("body")})
+		if err != nil {
+			return err
+		}
+		resp, err := c.Do(req)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err == nil && string(body) != "HTTP/2.0" {
+			err = fmt.Errorf("status %d, body %q", resp.StatusCode, body)
+		}
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(func(context.Context) error { return nil }) }()
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	stop(t)
+	begun := time.Now()
+	for {
+		if err := call(); err != nil {
+			if !peer.NotProcessed(err) {
+				t.Errorf("call neither answered nor refused: %v", err)
+			}
+			break
+		}
+	}
+	if err := <-ended; err != nil || time.Since(begun) > serverStopLimit {
+		t.Errorf("process ended with %v after %v", err, time.Since(begun))
+	}
+}
