peer: a call whose connection ended before it was written is not unknown

TestPlannedStopOfServer with -race: "call neither answered nor refused: ... net/http: cannot rewind body after connection loss", 2 of 64 calls. If a connection ends between its choice for a call and the first frame of the call, net/http closes the body, finds no other connection and then can't begin again. With HTTP/2 that is the only way to this error: it repeats nothing else of a call that it has begun to write and whose body can't be read again.

The client reports it as not processed, like the calls after a GOAWAY; StoppingError becomes UnprocessedError, as the peer need not be stopping.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -84,15 +84,15 @@
 	return "http://" + c.opts.Addr
 }
 
-// Do sends a request and implements connect.HTTPClient. The error wraps a DialError if no connection could be established, and a
-// StoppingError if the peer has not processed the request since it is stopping.
+// Do sends a request and implements connect.HTTPClient. The error wraps a DialError if no connection could be established, and an
+// UnprocessedError if there was one, but the peer has not processed the request.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	c.mu.Lock()
 	h := c.http
 	c.mu.Unlock()
 	resp, err := h.Do(req)
 	if err != nil {
-		err = stoppingError(c.opts.Addr, err)
+		err = unprocessedError(c.opts.Addr, err)
 	}
 	return resp, err
 }
