--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log"
 	"net"
@@ -27,7 +28,11 @@
 	ErrorLog          *log.Logger
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
-	WrapConn          func(net.Conn) net.Conn // wraps each accepted connection
+	Protocols         *http.Protocols   // nil: HTTP/1
+	HTTP2             *http.HTTP2Config // if Protocols has HTTP/2
+	// TLS encrypts all connections; nil: none. What comes on them is not followed, so it protects requests of HTTP/2 only at a planned stop.
+	TLS      *tls.Config
+	WrapConn func(net.Conn) net.Conn // wraps each accepted connection
 	// ConnContext adds to the context of a connection's requests. It is given the connection that WrapConn returned.
 	ConnContext func(context.Context, net.Conn) context.Context
 	Metrics     tally.Scope
@@ -50,7 +55,7 @@
 	mu         sync.Mutex // guards the rest
 	conns      map[*conn]struct{}
 	lastAccept time.Time
-	listener   *listener // nil before Serve
+	listener   *listener // nil before Attach and Serve
 }
 
 type metrics struct {
@@ -74,13 +79,15 @@
 	s.endRequests = cancel
 	s.http = http.Server{
 		Handler: http.HandlerFunc(s.serveHTTP), ErrorLog: o.ErrorLog, ReadHeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout,
+		Protocols: o.Protocols, HTTP2: o.HTTP2,
 		BaseContext: func(net.Listener) context.Context { return base },
-		ConnState:   func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
+		ConnState:   func(c net.Conn, state http.ConnState) { ownConn(c).setState(state) },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			own := ownConn(c)
 			if o.ConnContext != nil {
-				ctx = o.ConnContext(ctx, c.(*conn).Conn)
+				ctx = o.ConnContext(ctx, own.Conn)
 			}
-			return context.WithValue(ctx, connKey{}, c)
+			return context.WithValue(ctx, connKey{}, own)
 		},
 	}
 	return s
@@ -100,13 +107,39 @@
 	return c != nil && c.server.stopping.Load() && c.isLast()
 }
 
-// Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
-func (s *Server) Serve(l net.Listener) error {
-	own := &listener{Listener: l, server: s, ended: make(chan struct{})}
+// IsLast reports whether no further request has come on the connection of r, for handlers that know of the stop themselves. A request of
+// HTTP/2, or one that did not come through a Server, always is the last: no answer closes its connection before the others.
+func IsLast(r *http.Request) bool {
+	c := connOf(r.Context())
+	return c == nil || c.isLast()
+}
+
+// Attach names the listener of a later Serve. A planned stop that begins before Serve then waits for it, to answer or refuse what is in the
+// listener's queue by then.
+func (s *Server) Attach(l net.Listener) {
+	s.attach(l)
+}
+
+func (s *Server) attach(l net.Listener) *listener {
 	s.mu.Lock()
-	s.listener = own
+	if s.listener == nil {
+		s.listener = &listener{Listener: l, server: s, ended: make(chan struct{})}
+	}
+	own := s.listener
 	s.mu.Unlock()
-	err := s.http.Serve(own)
+	if s.refusing.Load() {
+		own.end() // the stop did not know of it
+	}
+	return own
+}
+
+// Serve accepts connections and serves them. After Shutdown, Drain or Close it returns http.ErrServerClosed when that has ended.
+func (s *Server) Serve(l net.Listener) error {
+	l = s.attach(l)
+	if s.opts.TLS != nil {
+		l = tls.NewListener(l, s.opts.TLS)
+	}
+	err := s.http.Serve(l)
 	if errors.Is(err, errListenerEnded) || errors.Is(err, http.ErrServerClosed) {
 		<-s.stopped
 		return http.ErrServerClosed
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -25,6 +24,7 @@
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/internal/distribution"
 	"github.com/egrethoist/egrethoist/internal/distribution/plan"
+	"github.com/egrethoist/egrethoist/internal/httpserver"
 	"github.com/egrethoist/egrethoist/internal/mtls"
 	"github.com/egrethoist/egrethoist/internal/peer"
 	"github.com/egrethoist/egrethoist/internal/platform"
@@ -53,10 +53,13 @@
 	Metrics   http.Handler
 	Describe  func(*statusz.Process) // completes what /statusz tells; nil adds nothing
 
-	group  run.Group
-	tls    *mtls.Source // nil without TLS between our own processes
-	spread *distribution.Distributor
-	ready  func() error
+	group   run.Group
+	signals signals
+	drained chan struct{}        // closed when a planned stop has ended, or the process ends without one
+	servers []*httpserver.Server // end with a planned stop, before any actor is interrupted
+	tls     *mtls.Source         // nil without TLS between our own processes
+	spread  *distribution.Distributor
+	ready   func() error
 }
 
 // Options of a process.
@@ -67,9 +70,23 @@
 	Entries func() ([]plan.Peer, uint64)
 }
 
-// New prepares a process. Nothing runs before Run.
+// signals receive what the operating system sends to the process, from before the first listener until the process ends: a signal with its
+// default action would kill the process with connections in a listener's queue.
+type signals struct {
+	stop   chan os.Signal // SIGINT and SIGTERM
+	hangUp chan os.Signal // SIGHUP; a channel of its own, so that it can't displace a signal to stop
+}
+
+func newSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), hangUp: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.hangUp, syscall.SIGHUP)
+	return s
+}
+
+// New prepares a process. Nothing runs before Run, but from now on a signal to stop waits for Run.
 func New(o Options) (*Process, error) {
-	p := &Process{Settings: o.Settings}
+	p := &Process{Settings: o.Settings, signals: newSignals(), drained: make(chan struct{})}
 	if err := p.secure(); err != nil {
 		return nil, err
 	}
@@ -228,56 +245,83 @@
 	w.Write([]byte("ready\n"))
 }
 
-// serve listens at once, so that a taken address fails the start, and serves from Run on.
+// serve listens at once, so that a taken address fails the start, and serves from Run on. A planned stop answers or refuses whatever
+// was sent to the server.
 func (p *Process) serve(name string, addr units.Address, h http.Handler, tlsConfig *tls.Config) error {
-	l, err := net.Listen("tcp", addr.String())
+	l, err := httpserver.Listen(addr.String())
 	if err != nil {
 		return trace.Wrap(err, "listen for %v", name)
 	}
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
-	}
-	server := peer.NewServer(h, nil)
+	o := peer.ServerOptions(name, h, tlsConfig)
+	o.Metrics = p.Scope
+	server := httpserver.New(o)
+	server.Attach(l) // a planned stop may begin before Serve
+	p.servers = append(p.servers, server)
 	klog.InfoS("listening", "name", p.Settings.Name, "for", name, "address", addr.String())
 	p.group.Add(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err, "serve %v", name)
 		}
+		<-p.drained // the server of Serve has ended, perhaps not the others
 		return nil
-	}, func(error) { stopServer(server) })
+	}, func(error) { endServer(server) })
 	return nil
 }
 
-func stopServer(server *http.Server) {
+// endServer ends a server within serverStopLimit. It does nothing if the server has ended.
+func endServer(server *httpserver.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), serverStopLimit)
 	defer cancel()
-	if server.Shutdown(ctx) != nil {
-		server.Close()
+	if err := server.Shutdown(ctx); err != nil {
+		klog.InfoS("connections closed before they were answered", "err", err.Error())
+		_ = server.Close() // the listener has ended
 	}
 }
 
-// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end before
-// any actor is interrupted, since requests under way need all of them.
+// endServers ends all servers.
+func (p *Process) endServers() {
+	var ends sync.WaitGroup
+	for _, server := range p.servers {
+		ends.Go(func() { endServer(server) })
+	}
+	ends.Wait()
+}
+
+// Run runs all actors until one fails or a signal asks for a planned stop. Then shutdown runs to its end, after it the servers end, before any
+// actor is interrupted, since requests under way need all of them.
 func (p *Process) Run(shutdown func(ctx context.Context) error) error {
-	stop := make(chan os.Signal, 1)
 	done := make(chan struct{})
 	p.group.Add(func() error {
-		signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-		select {
-		case s := <-stop:
-			klog.InfoS("planned stop", "name", p.Settings.Name, "signal", s.String())
-		case <-done:
+		defer close(p.drained)
+		if !p.awaitStop(done) {
 			return nil
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(p.Settings.DrainTimeout))
 		defer cancel()
-		return shutdown(ctx)
+		err := shutdown(ctx)
+		p.endServers()
+		return err
 	}, func(error) { close(done) })
 	err := p.group.Run()
 	p.Peers.Close()
 	return err
 }
 
+// awaitStop waits for a signal that asks for a planned stop. It returns false if done is closed first.
+func (p *Process) awaitStop(done <-chan struct{}) bool {
+	for {
+		select {
+		case s := <-p.signals.stop:
+			klog.InfoS("planned stop", "name", p.Settings.Name, "signal", s.String())
+			return true
+		case <-p.signals.hangUp:
+			klog.InfoS("signal ignored, settings are read at start", "name", p.Settings.Name, "signal", syscall.SIGHUP.String())
+		case <-done:
+			return false
+		}
+	}
+}
+
 // Config gives the configuration in force to entries and sidecars.
 type Config struct {
 	spread  *distribution.Distributor
