--- a/cmd/egret-gateway/listen.go
+++ b/cmd/egret-gateway/listen.go
@@ -56,6 +56,8 @@
 	idleTimeout = time.Minute
 	// sideStopTime is how long the servers for checks and for other instances have to end, after that for callers.
 	sideStopTime = 500 * time.Millisecond
+	// errorStopTime is how long each server has to end if another component of the instance has ended with an error.
+	errorStopTime = 2 * time.Second
 	// exitTime is reserved from the time to stop, for the process to exit.
 	exitTime = 100 * time.Millisecond
 )
@@ -78,6 +80,7 @@
 	}
 	o.ErrorLog, o.ReadHeaderTimeout, o.IdleTimeout, o.Metrics = serverLog(), headerTimeout, idleTimeout, p.scope
 	server := httpserver.New(o)
+	server.Attach(l) // a planned stop may begin before Serve
 	p.group.Add(func() error {
 		err := server.Serve(l)
 		if errors.Is(err, http.ErrServerClosed) {
@@ -87,7 +90,10 @@
 		return trace.Wrap(err, "serve %s", l.Addr())
 	}, func(error) {
 		p.endDrain()
-		shutDown(server, p.settings.StopTimeout/2) // has ended before, unless the instance ends because of an error
+		// The server has ended before, unless the instance ends because of an error.
+		p.stopping.Store(true)
+		p.gateway.RefuseRequests()
+		shutDown(server, errorStopTime)
 	})
 	return server, nil
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -23,7 +23,7 @@
 	// refusal answers whatever was sent on a connection and reached no handler. RFC 9110 has status 408 for a server that closes an idle
 	// connection: a request that crosses it has not run, and the client may send it again on another one.
 	refusal = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 0\r\n\r\n"
-	// refusalTimeout bounds the write of refusal, which only a client that does not read delays.
+	// refusalTimeout bounds the write of refusal, which only a client delays that has not read the answers before.
 	refusalTimeout = 200 * time.Millisecond
 	// lingerTimeout is how long a connection without another limit stays half open for the client to close it. What the client sends
 	// meanwhile is discarded: if the connection were closed with unread bytes, a reset could destroy the answer before the client reads it.
@@ -65,7 +65,7 @@
 
 // newConn returns a connection of a server. Under TLS the received bytes can't be followed, as those of HTTP/2.
 func newConn(inner net.Conn, s *Server) *conn {
-	c := &conn{Conn: inner, server: s}
+	c := &conn{Conn: inner, server: s, received: requestBytes{some: !s.unencryptedHTTP2()}}
 	if s.opts.TLS != nil {
 		c.phase, c.received = phaseHandler, requestBytes{some: true, http2: true}
 	}
@@ -196,15 +196,16 @@
 	}
 	partial := phase == phaseHead
 	c.phase, c.endReason = phaseEnded, reason
-	limit := c.server.closeBy(time.Now().Add(lingerTimeout))
+	_ = c.Conn.SetReadDeadline(c.server.closeBy(time.Now().Add(lingerTimeout))) // before a time limit of net/http ends the read
 	c.recordRefused(partial)
 	c.mu.Unlock()
 	c.server.metrics.ended.Inc(1)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	if _, err := c.Conn.Write([]byte(refusal)); err == nil {
-		_ = closeWrite(c.Conn) // an error means that the client has closed the connection, as for the others
+	// Wrappers may wait for a caller that does not read.
+	socket := innermost(c.Conn)
+	_ = socket.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	if _, err := socket.Write([]byte(refusal)); err == nil {
+		_ = closeWrite(socket) // an error means that the client has closed the connection, as for the others
 	}
-	_ = c.Conn.SetReadDeadline(limit)
 }
 
 // recordRefused records that refusal was the answer to a request of the connection, if it was. c.mu must be held.
@@ -228,14 +229,22 @@
 	}
 }
 
-// interrupt makes reads fail of a request that has not come wholly. A handler that has its request is not affected.
+// interrupt makes reads fail of requests that have not come wholly, from now on. A handler that has its request is not affected. A
+// connection whose request is still unread is ended here, since its reader may not run in time.
 func (c *conn) interrupt() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.phase == phaseEnded || c.received.http2 {
+		c.mu.Unlock()
 		return
 	}
 	c.interrupted = true
+	c.failReads()
+	c.mu.Unlock()
+	c.end(phaseWaiting, "stopping")
+}
+
+// failReads makes reads fail. c.mu must be held.
+func (c *conn) failReads() {
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection was closed
 }
 
@@ -250,6 +259,9 @@
 	case state == http.StateIdle:
 		c.phase, c.answered, c.late = phaseBetween, true, false
 		c.received.next()
+		if c.interrupted {
+			c.failReads()
+		}
 	case state == http.StateHijacked:
 		c.phase = phaseHandler
 	}
@@ -337,18 +349,23 @@
 func (c *conn) use() (http2, busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.received.http2, c.phase == phaseHandler
+	return c.received.http2, c.phase == phaseHandler && !c.closed
 }
 
-// unread reports whether a connection has bytes in the kernel that were not read. Connections without a file descriptor have none.
-func unread(c net.Conn) bool {
+// innermost returns the connection that others wrap.
+func innermost(c net.Conn) net.Conn {
 	for {
-		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return c
 		}
-		c = wrapped.NetConn()
+		c = wrapper.NetConn()
 	}
+}
+
+// unread reports whether a connection has bytes in the kernel that were not read. Connections without a file descriptor have none.
+func unread(c net.Conn) bool {
+	c = innermost(c)
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -21,6 +21,8 @@
 	// handshakeQuiet is how long a listener that takes no new handshakes must have had no connection to be sure that none is under way:
 	// several round trips, also over a busy link.
 	handshakeQuiet = 200 * time.Millisecond
+	// acceptRetryTime is the pause after an error of Accept while the listener ends.
+	acceptRetryTime = 5 * time.Millisecond
 	// maxHandshakeTime bounds the wait, for platforms that can't refuse handshakes.
 	maxHandshakeTime = time.Second
 )
@@ -49,6 +51,7 @@
 	limit  time.Time // of handshakes, once ending
 	closed bool
 	queued []net.Conn // accepted, not yet returned by Accept
+	retry  bool       // the last Accept failed, perhaps for lack of descriptors
 }
 
 // Accept implements net.Listener.
@@ -84,7 +87,12 @@
 		close(l.ended)
 		return nil, errListenerEnded
 	}
+	retry := l.retry
+	l.retry = false
 	l.mu.Unlock()
+	if retry {
+		time.Sleep(acceptRetryTime)
+	}
 	c, err := l.Listener.Accept()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -95,6 +103,12 @@
 	case err == nil || !l.ending:
 		return c, err
 	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) && time.Now().Before(l.limit) {
+		klog.ErrorS(err, "connection not accepted, trying again", "server", l.server.opts.Name)
+		l.awaitHandshakes()
+		l.retry = true
+		return nil, nil
+	}
 	l.closed = true
 	l.queued = acceptQueued(l.Listener)
 	if err := l.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
@@ -167,8 +181,11 @@
 			switch {
 			case err == unix.EINTR || err == unix.ECONNABORTED:
 				continue
-			case err != nil:
+			case err == unix.EAGAIN:
 				return // the queue is empty
+			case err != nil:
+				klog.ErrorS(err, "listener closes although connections may be queued")
+				return
 			}
 			file := os.NewFile(uintptr(connection), "")
 			c, err := net.FileConn(file)
--- a/internal/httpserver/received.go
+++ b/internal/httpserver/received.go
@@ -5,14 +5,14 @@
 const (
 	// http2Preface begins a connection of HTTP/2, which has its own way to end.
 	http2Preface = "PRI * HTTP/2.0"
-	// lastChunk ends a body in chunks without trailers.
-	lastChunk = "0\r\n\r\n"
+	// lastChunk ends a body in chunks without trailers, with the end of the line before it.
+	lastChunk = "\r\n0\r\n\r\n"
 )
 
 // requestBytes follows the received bytes of a connection as far as is needed to tell whether something follows the present request.
 type requestBytes struct {
 	http2      bool  // of HTTP/2 or TLS: the bytes are not followed
-	some       bool  // bytes were received
+	some       bool  // bytes were received, or can't be of HTTP/2
 	unknown    bool  // bytes of the present request came with an earlier one, and its head was not followed
 	headDone   bool  // the head is complete
 	newlines   int   // line feeds in a row at the end of the head so far
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -44,13 +44,15 @@
 	opts    Options
 	metrics metrics
 
-	stopping    atomic.Bool // answers close their connection, as far as nothing follows
-	refusing    atomic.Bool // connections that wait for a request are ended
-	closing     atomic.Bool // connections are closed at once
-	closeLimit  atomic.Pointer[time.Time]
-	endRequests context.CancelCauseFunc
-	stopped     chan struct{} // closed after Shutdown, Drain or Close
-	markStopped func()
+	draining     atomic.Bool // Drain was called
+	stopping     atomic.Bool // answers close their connection, as far as nothing follows
+	refusing     atomic.Bool // connections that wait for a request are ended
+	interrupting atomic.Bool // reads of requests that have not come wholly fail
+	closing      atomic.Bool // connections are closed at once
+	closeLimit   atomic.Pointer[time.Time]
+	endRequests  context.CancelCauseFunc
+	stopped      chan struct{} // closed after Shutdown, Drain or Close
+	markStopped  func()
 
 	mu         sync.Mutex // guards the rest
 	conns      map[*conn]struct{}
@@ -100,11 +102,16 @@
 	s.opts.Handler.ServeHTTP(w, r)
 }
 
+// unencryptedHTTP2 reports whether connections without TLS may be of HTTP/2.
+func (s *Server) unencryptedHTTP2() bool {
+	return s.opts.Protocols != nil && s.opts.Protocols.UnencryptedHTTP2()
+}
+
 // ClosesAfter reports whether the answer to a request should close its connection, since a planned stop has begun. It does not while
 // further requests of the connection have come: they are answered first. Call it when the head of the answer is sent.
 func ClosesAfter(r *http.Request) bool {
 	c := connOf(r.Context())
-	return c != nil && c.server.stopping.Load() && c.isLast()
+	return c != nil && c.server.stopping.Load() && c.isLast() && !unread(c.Conn)
 }
 
 // IsLast reports whether no further request has come on the connection of r, for handlers that know of the stop themselves. A request of
@@ -171,12 +178,15 @@
 //   - PhaseOverdue: connections that are left are closed.
 //
 // It calls onPhase at each phase before it acts on it. It returns an error if connections were closed before they were answered, or if ctx
-// ended first. A server that has been stopped does nothing.
+// ended first. While another call drains the server, it waits for that.
 func (s *Server) Drain(ctx context.Context, opts drain.Options, onPhase func(drain.Phase)) error {
-	select {
-	case <-s.stopped:
-		return nil
-	default:
+	if !s.draining.CompareAndSwap(false, true) {
+		select {
+		case <-s.stopped:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 	defer s.markStopped()
 	limit := time.Now().Add(opts.Deadline)
@@ -192,10 +202,11 @@
 			s.stopping.Store(true)
 			s.refusing.Store(true)
 			s.endListener()
-			s.forEach((*conn).endIfQuiet)
+			s.forEach(func(c *conn) { go c.endIfQuiet() })
 		case drain.PhaseHandover:
+			s.interrupting.Store(true)
 			s.endRequests(ErrStopping)
-			s.forEach((*conn).interrupt)
+			s.forEach(func(c *conn) { go c.interrupt() })
 		case drain.PhaseOverdue:
 			overdue = s.unanswered()
 			_ = s.Close()
@@ -207,6 +218,8 @@
 	case overdue > 0:
 		return errors.New("requests were cut at the end of the time to stop")
 	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
 	return s.http.Shutdown(ctx) // HTTP/2 has its own way to end a connection
 }
 
@@ -266,8 +279,11 @@
 
 func (s *Server) remember(c *conn, now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.conns[c], s.lastAccept = struct{}{}, now
+	s.mu.Unlock()
+	if s.interrupting.Load() {
+		c.interrupt()
+	}
 }
 
 func (s *Server) forget(c *conn) {
