soak: a request behind an answer that was broken off can't be answered

A broken answer of HTTP/1.1 ends its connection. The first request is judged as before; a row of TestSecondRequestOfOneWrite has both.

--- a/internal/soak/conncallers.go
+++ b/internal/soak/conncallers.go
@@ -157,11 +157,11 @@
 	}
 	conn.readUntil(deadline)
 	defer conn.readUntil(time.Time{}) // the connection may be idle for longer
-	reusable, closing := true, false
+	reusable, closing, cut := true, false, false
 	for i, a := range attempts {
 		resp, err := http.ReadResponse(conn.reader, nil)
 		if err != nil {
-			a.afterClose = closing
+			a.afterClose, a.afterCut = closing, cut
 			c.fleet.checker.checkReply(a, standin.Reply{}, "", err)
 			reusable = false
 			continue
@@ -176,7 +176,7 @@
 			}
 			return false
 		}
-		closing = closing || resp.Close
+		closing, cut = closing || resp.Close, cut || err != nil
 		reusable = reusable && err == nil && !closing
 	}
 	return reusable
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -38,6 +38,7 @@
 	conn         string        // how a direct connection is used; empty: through a link
 	sentWhole    bool          // on a direct connection that the instance had not ended by then
 	afterClose   bool          // pipelined behind a request whose answer said that the connection ends
+	afterCut     bool          // pipelined behind a request whose answer was broken off, which ends the connection
 	bodyPause    time.Duration // in the middle of sending the body
 	readPause    time.Duration // before the caller reads the body of the answer
 	software     string        // version that began the stream; empty before its first event
@@ -345,7 +346,7 @@
 		maxLateStart   = 3 * time.Second       // after the start of a stop
 		deadlineMargin = 50 * time.Millisecond // the target ends at the deadline by its own clock, and its end takes two hops
 	)
-	if a.abandoned || a.instance == "" || a.done.Add(deadlineMargin).After(a.sent.Add(a.call.Patience)) {
+	if a.abandoned || a.afterCut || a.instance == "" || a.done.Add(deadlineMargin).After(a.sent.Add(a.call.Patience)) {
 		return
 	}
 	from := a.sent.Add(-c.bounds.RecoveryTime)
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -115,6 +115,7 @@
 		{"HTTP/1.1 408 Request Timeout\r\nRetry-After: 0\r\nConnection: close\r\n\r\n", ""},
 		{"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n", "pipelined"},
 		{"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nConnection: close\r\n\r\n", "pipelined, behind an answer with Connection: close"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "pipelined"}, // the first one is lost; the second one can't be answered
 	} {
 		s := newFixture(t)
 		conn, other := connect(t)
