--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -375,13 +375,27 @@
 			c.send(get("/second"))
 			time.Sleep(3 * limit)
 			f.reads.release()
-			if _, err := c.answer(); err != nil {
-				t.Error(err)
+			if status, err := c.answer(); err != nil || status != http.StatusOK {
+				t.Errorf("status %d, %v; want the handler's answer", status, err)
 			}
 		})
 	}
 }
 
+// Guards against a reset behind an answer, by which a client may lose it: the connection is closed while the client has sent more than was
+// read.
+func TestAnswerIsNotFollowedByReset(t *testing.T) {
+	f := newFixture(t, Options{})
+	c := f.dial()
+	c.send("GET /first HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n" + strings.Repeat("x", 64<<10))
+	if _, err := c.answer(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.reader.ReadByte(); err != io.EOF {
+		t.Errorf("after the answer: %v, want EOF", err)
+	}
+}
+
 // Guards against connections that are reset because a planned stop begins between listen and Serve.
 func TestShutdownBeforeServeAnswersTheQueue(t *testing.T) {
 	f := &fixture{t: t, server: New(Options{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})}
