--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -39,8 +39,6 @@
 	minStuckTime         = 10 * time.Second
 	defaultMaxDrain      = 1500 * time.Millisecond
 	defaultRetryInterval = 2 * time.Second
-	// maxDrains bounds the drain times that are kept.
-	maxDrains = 64
 )
 
 // Target is the state of a target as known to the sender of the orders.
@@ -70,7 +68,6 @@
 	orderedAt time.Time // when the last order to load was sent
 	loadSince time.Time // when it was ordered to load, or first seen to load; zero before that
 	observed  bool      // seen to load after an order of this plan
-	drained   bool      // the time that its requests took to end is recorded or can't be known
 }
 
 // Plan is the roll-out of one model. It is not safe for concurrent use.
@@ -78,7 +75,6 @@
 	opts         Options
 	outOfService map[string]*progress // by ID
 	loadTime     time.Duration        // time from the order until the load has ended; zero if none was observed
-	drains       []time.Duration      // times from leaving service until no request was in flight, of targets of this roll-out
 }
 
 // New returns a plan without targets.
@@ -95,7 +91,7 @@
 // TakeOver adds a target that an earlier leader has taken out of service. Whether it loads shows in its next report.
 func (p *Plan) TakeOver(id string, outSince time.Time) {
 	if p.outOfService[id] == nil {
-		p.outOfService[id] = &progress{outSince: outSince, drained: true}
+		p.outOfService[id] = &progress{outSince: outSince}
 	}
 }
 
@@ -173,11 +169,7 @@
 			failed++
 		}
 	}
-	if len(old) == 0 {
-		p.drains = nil // the requests of the next roll-out may be others
-	}
-	maxOut := max(maxLoads+maxDraining+min(failed, maxDraining), p.neededOut(old, p.expectedDrain(byID, now), now))
-	p.takeOut(old, superseded, maxOut, (len(targets)+1)/2, now)
+	p.takeOut(old, superseded, maxLoads+maxDraining+min(failed, maxDraining), (len(targets)+1)/2, now)
 	s := p.nextStep(byID, maxLoads, now)
 	s.Behind = len(old)
 	return s
@@ -202,56 +194,6 @@
 	return pr.phase == loading && now.Sub(pr.loadSince) > max(stuckLoads*cmp.Or(p.loadTime, p.opts.LoadTime), minStuckTime)
 }
 
-// expectedDrain records the drains that have ended and returns how long one is expected to take: the median of those that have ended and of those that
-// exceed MaxDrain, which are expected to take as long again.
-func (p *Plan) expectedDrain(byID map[string]*Target, now time.Time) time.Duration {
-	expected := slices.Clone(p.drains)
-	for id, pr := range p.outOfService {
-		t := byID[id]
-		if pr.drained || t.Unreported || t.Unresponsive {
-			continue
-		}
-		took := now.Sub(pr.outSince)
-		switch {
-		case t.Idle:
-			pr.drained = true
-			expected = append(expected, took)
-			if len(p.drains) < maxDrains {
-				p.drains = append(p.drains, took)
-			}
-		case took >= p.opts.MaxDrain:
-			expected = append(expected, 2*took)
-		}
-	}
-	if len(expected) == 0 {
-		return 0
-	}
-	slices.Sort(expected)
-	return expected[(len(expected)-1)/2]
-}
-
-// neededOut returns how many targets must be out of service at a time so that each of the old ones that answer can drain and load before its weights
-// expire, zero if drains are not expected to exceed MaxDrain.
-func (p *Plan) neededOut(old []*Target, drain time.Duration, now time.Time) int {
-	if drain <= p.opts.MaxDrain {
-		return 0
-	}
-	loadTime := cmp.Or(p.loadTime, p.opts.LoadTime)
-	waiting := map[time.Time]int{} // by expiry
-	for _, t := range old {
-		if !t.Unresponsive && !t.Expiry.IsZero() && !t.expired(now) {
-			waiting[t.Expiry]++
-		}
-	}
-	needed, earlier := 0, 0
-	for _, expiry := range slices.SortedFunc(maps.Keys(waiting), time.Time.Compare) {
-		earlier += waiting[expiry]
-		rounds := max(int((expiry.Sub(now)+loadTime/lateShare)/(drain+loadTime)), 1)
-		needed = max(needed, (earlier+rounds-1)/rounds)
-	}
-	return needed
-}
-
 // observeLoad records how long a load that has ended took, if its beginning is known. Shorter times than before count at once and longer
 // ones little: a load that others have slowed down must not lead to still more at once.
 func (p *Plan) observeLoad(pr *progress, now time.Time) {
@@ -340,7 +282,7 @@
 			if !wasOut {
 				since = now
 			}
-			p.outOfService[t.ID] = &progress{version: t.Version, outSince: since, drained: wasOut || t.Busy}
+			p.outOfService[t.ID] = &progress{version: t.Version, outSince: since}
 		}
 	}
 }
