--- a/cmd/egretctl/main.go
+++ b/cmd/egretctl/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"net/http"
 	"os"
 
 	"github.com/egrethoist/egrethoist/internal/egretctl"
@@ -25,7 +24,7 @@
 
 func dial(address units.Address, keys *mtls.Options) (platform.KV, error) {
 	if keys == nil {
-		return rpc.NewClient(http.DefaultClient, "http://"+address.String()), nil
+		return rpc.NewPlainClient(address.String()), nil
 	}
 	source, err := mtls.New(*keys)
 	if err != nil {
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -15,6 +15,7 @@
 
 	fakeengine "github.com/egrethoist/egrethoist/internal/fake/engine"
 	fakeplain "github.com/egrethoist/egrethoist/internal/fake/plain"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 )
 
 // caller sends requests as a customer's application does.
@@ -31,10 +32,10 @@
 func newCaller(entries []string) *caller {
 	return &caller{
 		entries: entries,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpclient.New(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 			MaxIdleConnsPerHost: callerConns,
-		}},
+		})},
 	}
 }
 
--- a/internal/bench/naive.go
+++ b/internal/bench/naive.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/peer"
 )
 
@@ -27,10 +28,10 @@
 	return &naiveBalancer{
 		models: models,
 		plains: plains,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpclient.New(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: callerConns,
-		}},
+		})},
 	}
 }
 
--- a/internal/bench/slopes_config.go
+++ b/internal/bench/slopes_config.go
@@ -16,6 +16,7 @@
 	"github.com/egrethoist/egrethoist/internal/distribution/plan"
 	"github.com/egrethoist/egrethoist/internal/entry"
 	"github.com/egrethoist/egrethoist/internal/fleet"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/limit"
 	"github.com/egrethoist/egrethoist/internal/manifest"
 	"github.com/egrethoist/egrethoist/internal/peer"
@@ -310,7 +311,7 @@
 	srv := httptest.NewServer(rpc.NewHandler(p))
 	defer srv.Close()
 	var w wire
-	client := &http.Client{Transport: &http.Transport{DialContext: w.Dialer("entry-1")}}
+	client := &http.Client{Transport: httpclient.New(&http.Transport{DialContext: w.Dialer("entry-1")})}
 	defer client.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(m.ctx, startLimit)
 	defer cancel()
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -11,6 +11,7 @@
 	"github.com/egrethoist/egrethoist/examples"
 	fakeengine "github.com/egrethoist/egrethoist/internal/fake/engine"
 	"github.com/egrethoist/egrethoist/internal/fleet"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/manifest"
 	"github.com/egrethoist/egrethoist/internal/platform/memory"
 	"github.com/egrethoist/egrethoist/internal/world"
@@ -65,7 +66,7 @@
 		Targets:  len(f.Targets),
 		Failures: []string{},
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: opts.Network.Dialer("caller")}}
+	client := &http.Client{Transport: httpclient.New(&http.Transport{DialContext: opts.Network.Dialer("caller")})}
 	return &Fleet{Fleet: f, Key: examples.DevKey(w), client: client}, report, nil
 }
 
--- a/internal/egretctl/status.go
+++ b/internal/egretctl/status.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/jsonreply"
 	"github.com/egrethoist/egrethoist/internal/statusz"
 	"github.com/egrethoist/egrethoist/internal/units"
@@ -67,12 +68,14 @@
 // askAll asks every process; one that does not answer is part of the picture, not a failure.
 func askAll(ctx context.Context, addresses []string) []statusz.Answer {
 	answers := make([]statusz.Answer, len(addresses))
+	client := newStatusClient()
+	defer client.CloseIdleConnections()
 	var g errgroup.Group
 	g.SetLimit(askers)
 	for i, address := range addresses {
 		g.Go(func() error {
 			answers[i].Address = address
-			p, err := ask(ctx, address)
+			p, err := ask(ctx, client, address)
 			if err != nil {
 				answers[i].Error = err.Error()
 			}
@@ -84,14 +87,17 @@
 	return answers
 }
 
-func ask(ctx context.Context, address string) (*statusz.Process, error) {
+func newStatusClient() *http.Client {
+	return &http.Client{Transport: httpclient.NewDefault(), CheckRedirect: jsonreply.NoRedirect}
+}
+
+func ask(ctx context.Context, client *http.Client, address string) (*statusz.Process, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/statusz", nil)
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{CheckRedirect: jsonreply.NoRedirect}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/egretctl/status_test.go
+++ b/internal/egretctl/status_test.go
@@ -38,7 +38,7 @@
 			w.WriteHeader(c.status)
 			_, _ = fmt.Fprint(w, c.body)
 		}))
-		if p, err := ask(t.Context(), strings.TrimPrefix(s.URL, "http://")); (err == nil) != c.ok {
+		if p, err := ask(t.Context(), newStatusClient(), strings.TrimPrefix(s.URL, "http://")); (err == nil) != c.ok {
 			t.Errorf("%s: %+v, %v", name, p, err)
 		}
 		s.Close()
--- a/internal/engine/httpengine/httpengine.go
+++ b/internal/engine/httpengine/httpengine.go
@@ -18,7 +18,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/engine"
 	"github.com/egrethoist/egrethoist/internal/engine/wire"
-	"github.com/egrethoist/egrethoist/internal/tcp"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 )
 
 // Options of a Target.
@@ -47,11 +47,14 @@
 // Target is an HTTP target of the plain kind; it implements engine.Target.
 type Target struct {
 	opts      Options
-	transport *http.Transport
+	transport *httpclient.Transport
 }
 
 // New returns a target. No connection is made before the first call.
-func New(opts Options) *Target {
+func New(opts Options) *Target { return newTarget(opts, false) }
+
+// newTarget returns a target that makes a new connection for each call if fresh is set.
+func newTarget(opts Options, fresh bool) *Target {
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{}).DialContext
 	}
@@ -61,14 +64,13 @@
 		opts.ProbePath = wire.PathHealth
 	}
 	t := &Target{opts: opts}
-	t.transport = &http.Transport{
-		DialContext:            t.dial,
-		MaxIdleConnsPerHost:    opts.MaxIdle,
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		ReadBufferSize:         sseBuffer,
-		MaxResponseHeaderBytes: tcp.MaxResponseHeaderBytes,
-	}
+	t.transport = httpclient.New(&http.Transport{
+		DialContext:         t.dial,
+		MaxIdleConnsPerHost: opts.MaxIdle,
+		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:   fresh,
+		ReadBufferSize:      sseBuffer,
+	})
 	return t
 }
 
--- a/internal/engine/httpengine/model.go
+++ b/internal/engine/httpengine/model.go
@@ -46,9 +46,7 @@
 
 // NewModel returns a model server. No connection is made before the first call.
 func NewModel(opts Options) *Model {
-	check := New(opts)
-	check.transport.DisableKeepAlives = true
-	return &Model{Target: New(opts), check: &Model{Target: check}}
+	return &Model{Target: New(opts), check: &Model{Target: newTarget(opts, true)}}
 }
 
 // Do starts a completion. The engine is asked for a stream, whatever the caller asked for, so that a run shows its
--- a/internal/engine/httpengine/proof.go
+++ b/internal/engine/httpengine/proof.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
@@ -23,6 +24,9 @@
 	idle   bool // a call got the connection and has begun no write
 }
 
+// NetConn returns the connection that c wraps.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Write fails without writing anything if the target has ended the connection before a call's first write. The transport notices such an end only
 // when its reader has run.
 func (c *countedConn) Write(b []byte) (int, error) {
@@ -81,8 +85,11 @@
 func (p *sendProof) gotConn(info httptrace.GotConnInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn, ok := info.Conn.(*countedConn)
-	if !ok {
+	var conn *countedConn
+	if checked, ok := info.Conn.(*httpclient.Conn); ok {
+		conn, _ = checked.NetConn().(*countedConn)
+	}
+	if conn == nil {
 		p.opaque = true
 		return
 	}
--- a/internal/faultmatrix/caller.go
+++ b/internal/faultmatrix/caller.go
@@ -17,6 +17,7 @@
 	"github.com/egrethoist/egrethoist/internal/engine/wire"
 	"github.com/egrethoist/egrethoist/internal/entry"
 	"github.com/egrethoist/egrethoist/internal/fake/plain"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 )
 
 // Bounds of a caller.
@@ -58,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(ctx, giveUpAfter)
 	defer cancel()
 	t := Try{RequestID: call.Name + "-" + strconv.Itoa(n+1), Entry: entryIndex, Sent: time.Now()}
-	transport := &http.Transport{DialContext: b.hosts.Network.Dialer(b.hosts.ip(caller)), DisableKeepAlives: true}
+	transport := httpclient.New(&http.Transport{DialContext: b.hosts.Network.Dialer(b.hosts.ip(caller)), DisableKeepAlives: true})
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(b.request(ctx, call, &t))
 	if err == nil {
--- /dev/null
+++ b/internal/httpclient/transport_test.go
@@ -0,0 +1,82 @@
+package httpclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
+)
+
+// A peer that sends an unbounded response head must not exhaust the memory of an instance.
+func TestTransportRejectsUnboundedHead(t *testing.T) {
+	const (
+		maxRead    = 1 << 20 // bytes
+		writeLimit = 4 << 20
+	)
+	for name, response := range map[string]struct{ prefix, repeated string }{
+		"status line":     {"HTTP/1.1 200 O", "K"},
+		"header line":     {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"header lines":    {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"interim answers": {"", "HTTP/1.1 103 Hints\r\nX: x\r\n\r\n"},
+	} {
+		var written atomic.Int64
+		transport := New(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, server) }() // discards the request
+			go func() {
+				defer server.Close()
+				chunk := response.prefix
+				for written.Load() < writeLimit {
+					n, err := io.WriteString(server, chunk)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+					chunk = strings.Repeat(response.repeated, 1+1000/len(response.repeated))
+				}
+			}()
+			return client, nil
+		}})
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://10.0.0.1/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := (&http.Client{Transport: transport}).Do(req); err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("%s: accepted as a response", name)
+		}
+		if got := written.Load(); got > maxRead {
+			t.Errorf("%s: %d bytes read, want %d at most", name, got, maxRead)
+		}
+	}
+}
+
+// A reset during an upload must not end an answer without a length through a transport either. Which call learns of the reset is a race.
+func TestTransportResetDuringUploadIsNoEnd(t *testing.T) {
+	const tries, upload = 20, 16 << 20
+	transport := New(&http.Transport{DisableKeepAlives: true})
+	for try := range tries {
+		address := rawhttp.ServeEarly(t, rawhttp.EarlyAnswer{
+			Answer: rawhttp.Always("HTTP/1.1 200 OK\r\n\r\npart"), Pause: time.Duration(try%4) * 10 * time.Millisecond, End: rawhttp.EarlyReset,
+		})
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, upload)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			continue
+		}
+		if body, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("try %d: %q is taken for a whole answer", try, body)
+		}
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -13,6 +13,8 @@
 
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
+
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 // ErrStopping is why a request ends before its answer: the time that a planned stop has for requests is over. It is the cause of the
@@ -201,7 +203,7 @@
 	c.mu.Unlock()
 	c.server.metrics.ended.Inc(1)
 	// Wrappers may wait for a caller that does not read.
-	socket := innermost(c.Conn)
+	socket := tcp.Innermost(c.Conn)
 	_ = socket.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	if _, err := socket.Write([]byte(refusal)); err == nil {
 		_ = closeWrite(socket) // an error means that the client has closed the connection, as for the others
@@ -352,20 +354,9 @@
 	return c.received.http2, c.phase == phaseHandler && !c.closed
 }
 
-// innermost returns the connection that others wrap.
-func innermost(c net.Conn) net.Conn {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return c
-		}
-		c = wrapper.NetConn()
-	}
-}
-
 // unread reports whether a connection has bytes in the kernel that were not read. Connections without a file descriptor have none.
 func unread(c net.Conn) bool {
-	c = innermost(c)
+	c = tcp.Innermost(c)
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/metapeer/metapeer.go
+++ b/internal/metapeer/metapeer.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/labstack/echo/v4"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/jsonreply"
 	"github.com/egrethoist/egrethoist/internal/metastore"
 	"github.com/egrethoist/egrethoist/internal/tcp"
@@ -189,12 +190,11 @@
 
 // NewClient returns a client with the given options.
 func NewClient(o ClientOptions) *Client {
+	if o.Dial == nil {
+		o.Dial = tcp.Dialer(copyTimeout).DialContext
+	}
 	client := func(idleConns int) *http.Client {
-		t := tcp.NewTransport(copyTimeout)
-		t.MaxIdleConnsPerHost, t.IdleConnTimeout = idleConns, idleTimeout
-		if o.Dial != nil {
-			t.DialContext = o.Dial
-		}
+		t := httpclient.New(&http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout})
 		return &http.Client{Transport: t, CheckRedirect: jsonreply.NoRedirect}
 	}
 	const copyValues = 8 // how many values of the largest size fit into an answer
--- a/internal/platform/rpc/client.go
+++ b/internal/platform/rpc/client.go
@@ -16,6 +16,7 @@
 
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/gen/egret/v1/egretv1connect"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/platform"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
@@ -48,6 +49,11 @@
 	}
 }
 
+// NewPlainClient returns a client of the platform at an address, IP:port, without TLS.
+func NewPlainClient(address string) *Client {
+	return NewClient(&http.Client{Transport: httpclient.NewDefault()}, "http://"+address)
+}
+
 // errUnframed is returned for an answer whose end cannot be told from a cut. Messages have no length of their own, so one that is cut
 // between two fields is valid: a list would look shorter.
 var errUnframed = errors.New("answer without a length or chunks")
@@ -68,7 +74,7 @@
 // NewTLSClient returns a client of the platform at an address, IP:port. config is asked for every dial, so that rotated
 // keys take effect.
 func NewTLSClient(config func(host string) *tls.Config, address string) *Client {
-	transport := &http.Transport{
+	transport := httpclient.New(&http.Transport{
 		DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			host, _, err := net.SplitHostPort(address)
 			if err != nil {
@@ -79,10 +85,9 @@
 		},
 		ForceAttemptHTTP2: true,
 		// All calls share a connection. One that went silent would fail every call until the system's own timeout.
-		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: tcp.MaxResponseHeaderBytes,
-	}
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		IdleConnTimeout: idleTimeout,
+	})
 	return NewClient(&http.Client{Transport: transport}, "https://"+address)
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -152,7 +152,7 @@
 
 // reachPlatform prepares the client of the platform.
 func (p *Process) reachPlatform() error {
-	dial := func(a units.Address) *rpc.Client { return rpc.NewClient(http.DefaultClient, "http://"+a.String()) }
+	dial := func(a units.Address) *rpc.Client { return rpc.NewPlainClient(a.String()) }
 	if p.Settings.PlatformTLS != nil {
 		source, err := p.keys(p.Settings.PlatformTLS)
 		if err != nil {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 	"github.com/egrethoist/egrethoist/platform/standin"
 )
@@ -52,10 +53,10 @@
 
 // runCaller sends requests of random classes, one after the other, until ctx ends. One in 40 is abandoned early.
 func (c *callers) runCaller(ctx context.Context, n int, rng *rand.Rand) {
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+	transport := httpclient.New(&http.Transport{
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dial(ctx, rng) },
-	}
+	})
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse // a redirect is an answer to check like any other
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/platform"
 	"github.com/egrethoist/egrethoist/platform/standin"
 )
@@ -134,7 +135,7 @@
 // pollReadiness polls the readiness endpoint of the instance, as the platform's load balancer does, and updates ready until ctx
 // ends.
 func (in *instance) pollReadiness(ctx context.Context) {
-	client := &http.Client{Timeout: readyInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: readyInterval, Transport: httpclient.New(&http.Transport{DisableKeepAlives: true})}
 	url := fmt.Sprintf("http://%s:%d%s", in.spec.IP, in.spec.ReadyPort, platform.ReadyPath)
 	misses := 0
 	for ctx.Err() == nil {
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/egrethoist/egrethoist/internal/bootclock"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
@@ -145,8 +146,9 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	limiter := &headLimiter{conn, noLimit}
-	return &Conn{Conn: conn, pool: p, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleSince: bootclock.At(time.Now(), p.clock()), idleTimeout: defaultIdleTimeout}, nil
+	checked := httpclient.NewConn(conn)
+	limiter := &headLimiter{checked, noLimit}
+	return &Conn{Conn: checked, pool: p, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleSince: bootclock.At(time.Now(), p.clock()), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // release returns the connection to the idle stack, or closes it if the pool is closed or over its limit. It keeps idleSince, which
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -27,12 +27,6 @@
 // peer may send an unbounded head, and an instance has about a hundred megabytes of memory for many connections.
 const MaxResponseHeaderBytes = 64 << 10
 
-// NewTransport returns an HTTP transport that closes connections to an unresponsive peer and rejects response heads above
-// MaxResponseHeaderBytes. The caller may change it before its first use.
-func NewTransport(dialTimeout time.Duration) *http.Transport {
-	return &http.Transport{DialContext: Dialer(dialTimeout).DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxResponseHeaderBytes}
-}
-
 // Framed reports whether the end of a response's body can be told from a cut. In HTTP/1, a body without length and chunks ends with its
 // connection, however that ends.
 func Framed(resp *http.Response) bool {
