--- a/internal/egretctl/status_test.go
+++ b/internal/egretctl/status_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
 )
 
 // An answer that is not the status of a process must not be shown as one without targets and at revision 0.
@@ -43,4 +45,14 @@
 		}
 		s.Close()
 	}
+	for name, raw := range rawhttp.Broken("", whole) {
+		if p, err := ask(t.Context(), newStatusClient(), rawhttp.Serve(t, rawhttp.Always(raw))); err == nil {
+			t.Errorf("%s: %+v", name, p)
+		}
+	}
+	for name, raw := range rawhttp.Sound("", whole) {
+		if _, err := ask(t.Context(), newStatusClient(), rawhttp.Serve(t, rawhttp.Always(raw))); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
 }
--- /dev/null
+++ b/internal/fake/rawhttp/broken.go
@@ -0,0 +1,61 @@
+package rawhttp
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Broken returns answers that break HTTP, by what is wrong with them. Apart from that each is a whole answer with the status 200, the given
+// fields, which are lines with their ends, and the body. No reader may take one for an answer.
+func Broken(fields, body string) map[string]string {
+	answers := map[string]string{}
+	add := func(name, statusLine, broken, framing, sent string) {
+		answers[name] = statusLine + "\r\n" + fields + broken + framing + "\r\n" + sent
+	}
+	const ok = "HTTP/1.1 200 OK"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	if body == "" {
+		chunks = "0\r\n\r\n"
+	}
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for _, status := range []string{"000", "001", "007", "099", "-01", "+20", "+200", "-200", "600", "999", "1000", "20", "2", "", "0x1", "2xx", "200OK", "20\t"} {
+		add("status "+status, "HTTP/1.1 "+status+" S", "", length, body)
+		add("status "+status+", in chunks", "HTTP/1.1 "+status+" S", "", chunked, chunks)
+	}
+	for _, status := range []string{"100", "101", "102", "103", "199"} {
+		add("only status "+status, "HTTP/1.1 "+status+" S", "", length, body)
+	}
+	answers["switched protocols, then an answer"] = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + ok + "\r\n" + fields + length + "\r\n" + body
+	for name, reason := range map[string]string{"0x00": "O\x00K", "0x01": "\x01", "bare CR": "O\rK", "0x7f": "\x7f"} {
+		add("reason with "+name, "HTTP/1.1 200 "+reason, "", length, body)
+	}
+	return answers
+}
+
+// Sound returns answers that a reader must accept, like those of Broken.
+func Sound(fields, body string) map[string]string {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	rest := fields + length + "\r\n" + body
+	chunked := fields + "Transfer-Encoding: chunked\r\n"
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
+	if body == "" {
+		chunks = "0\r\n"
+	}
+	return map[string]string{
+		"with a length":          "HTTP/1.1 200 OK\r\n" + rest,
+		"in chunks":              "HTTP/1.1 200 OK\r\n" + chunked + "\r\n" + chunks + "\r\n",
+		"HTTP/1.0":               "HTTP/1.0 200 OK\r\n" + rest,
+		"without a reason":       "HTTP/1.1 200 \r\n" + rest,
+		"reason in other bytes":  "HTTP/1.1 200 \xe9t\xe9 \t ok\r\n" + rest,
+		"status line ends early": "HTTP/1.1 200\r\n" + rest,
+		"after an interim one":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: </x>\r\nX-Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"line feeds only":        strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+length+"\r\n", "\r\n", "\n") + body,
+		"folded line":            "HTTP/1.1 200 OK\r\nX-Folded: a\r\n b c: d\r\n\te\r\n" + rest,
+		"odd name":               "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09aZ: 1\r\n" + rest,
+		"empty value":            "HTTP/1.1 200 OK\r\nX:\r\nY: \t\r\n" + rest,
+		"other bytes in a value": "HTTP/1.1 200 OK\r\nX: \xe9t\xe9\r\n" + rest,
+		"with a trailer":         "HTTP/1.1 200 OK\r\n" + chunked + "Trailer: X-Sum\r\n\r\n" + chunks + "X-Sum: 1\r\n\r\n",
+		"same length twice":      "HTTP/1.1 200 OK\r\n" + length + rest,
+	}
+}
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -22,13 +22,16 @@
 var errEndNotProved = errors.New("connection ended, whether in order is unknown")
 
 // Conn is a connection to an HTTP/1 server. Its Read returns io.EOF only if the server has closed the connection in order: an answer without
-// length and chunks is as long as its connection, and would be whole at any end.
+// length and chunks is as long as its connection, and would be whole at any end. After Expect, Read returns an error in place of the rest of a
+// head that breaks HTTP/1.
 type Conn struct {
 	net.Conn
 	writing chan struct{} // holds an element during a write
 
-	mu   sync.Mutex
-	lost error // with which a read or write reported that the connection is lost; nil if none did
+	mu     sync.Mutex
+	lost   error // with which a read or write reported that the connection is lost; nil if none did
+	head   headCheck
+	broken error // what is wrong with a head; nothing can be read from then on
 }
 
 // NewConn returns a connection that reads the answers of a server from conn.
@@ -37,13 +40,44 @@
 // NetConn returns the connection that c wraps.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// Expect must be called before each request: the bytes that arrive from then on begin with heads. buffered are those that were already read and
+// follow the end of the last answer. It returns an error if they break HTTP/1.
+func (c *Conn) Expect(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.expect()
+	_, err := c.checkHead(buffered)
+	return err
+}
+
+// checkHead checks bytes from the server and returns how many of them may be read. c.mu must be held.
+func (c *Conn) checkHead(p []byte) (int, error) {
+	n, err := c.head.check(p)
+	if c.broken == nil {
+		c.broken = err
+	}
+	return n, err
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	broken := c.broken
+	c.mu.Unlock()
+	if broken != nil {
+		return 0, broken
+	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.checkHead(p[:n]) // an error of the connection is returned again
+	}
 	if err == io.EOF {
-		return n, c.end()
+		err = c.end()
+	} else {
+		c.recordLoss(err)
 	}
-	c.recordLoss(err)
 	return n, err
 }
 
--- /dev/null
+++ b/internal/httpclient/head.go
@@ -0,0 +1,83 @@
+package httpclient
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// errMalformed is returned for an answer that breaks HTTP/1. Whether the server has executed the request is unknown.
+var errMalformed = errors.New("answer breaks HTTP/1")
+
+// headCheck checks the heads of the answer to one request, those of interim answers included, while their bytes arrive. It is stricter than
+// net/http, and sees what net/http corrects or drops when it parses a head. Framing is left to net/http. The zero value expects no head.
+type headCheck struct {
+	active  bool   // the end of the final answer's head has not arrived
+	interim bool   // the present head is that of an interim answer
+	begun   bool   // the status line has arrived
+	line    []byte // that has not arrived wholly
+}
+
+// expect begins the check of the next bytes.
+func (h *headCheck) expect() { *h = headCheck{active: true, line: h.line[:0]} }
+
+// check checks the next bytes from the server. If they break HTTP/1, it returns the number of bytes before the end of the line that does, and
+// an error: a parser that gets no more than these cannot complete the head.
+func (h *headCheck) check(p []byte) (int, error) {
+	for offset := 0; h.active && offset < len(p); {
+		end := bytes.IndexByte(p[offset:], '\n')
+		if end < 0 {
+			h.line = append(h.line, p[offset:]...)
+			break
+		}
+		line := p[offset : offset+end]
+		if len(h.line) > 0 {
+			h.line = append(h.line, line...)
+			line = h.line
+		}
+		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return offset + end, fmt.Errorf("%w: %w", errMalformed, err)
+		}
+		h.line = h.line[:0]
+		offset += end + 1
+	}
+	return len(p), nil
+}
+
+// checkLine checks a line of a head, without its end.
+func (h *headCheck) checkLine(line []byte) error {
+	switch {
+	case !h.begun:
+		h.begun = true
+		if len(line) == 0 {
+			return nil // net/http refuses it
+		}
+		return h.checkStatusLine(line)
+	case len(line) == 0:
+		h.active, h.begun = h.interim, false
+	}
+	return nil
+}
+
+// checkStatusLine checks the first line of a head.
+func (h *headCheck) checkStatusLine(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !validStatus(status) || string(status) == "101" { // no request asks for another protocol
+		return fmt.Errorf("status %.20q", status)
+	}
+	h.interim = status[0] == '1'
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return fmt.Errorf("reason %.100q", reason)
+	}
+	return nil
+}
+
+// validStatus reports whether a status code consists of three digits and has one of the classes that RFC 9110 defines.
+func validStatus(code []byte) bool {
+	return len(code) == 3 && '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
@@ -58,9 +59,19 @@
 	}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns an error for an answer that breaks HTTP.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(req)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok { // not with HTTP/2
+			_ = conn.Expect(nil) // fails on bytes only
+		}
+	}}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	resp.Request = req
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that carry no call.
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -58,6 +58,46 @@
 	}
 }
 
+// An answer that breaks HTTP must not be taken for one, on a new connection or on one that was used before, and the call must not be repeated: the
+// server may have executed it.
+func TestTransportRejectsBrokenAnswers(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for name, raw := range rawhttp.Broken("", "body") {
+		for _, before := range []int{0, 1} {
+			var calls atomic.Int32
+			address := rawhttp.ServeKeepAlive(t, func(*http.Request, int) string {
+				if int(calls.Add(1)) <= before {
+					return sound
+				}
+				return raw
+			})
+			client := &http.Client{Transport: New(&http.Transport{})}
+			for range before {
+				if resp, err := client.Get("http://" + address); err != nil {
+					t.Fatal(err)
+				} else if _, err := io.ReadAll(resp.Body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond) // an interim answer is followed by none
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp, err := client.Do(req); err == nil {
+				if body, err := io.ReadAll(resp.Body); err == nil {
+					t.Errorf("%s, after %d others: status %d, %q", name, before, resp.StatusCode, body)
+				}
+			}
+			cancel()
+			if n := int(calls.Load()); n != before+1 {
+				t.Errorf("%s, after %d others: %d calls, want %d", name, before, n, before+1)
+			}
+			client.CloseIdleConnections()
+		}
+	}
+}
+
 // A reset during an upload must not end an answer without a length through a transport either. Which call learns of the reset is a race.
 func TestTransportResetDuringUploadIsNoEnd(t *testing.T) {
 	const tries, upload = 20, 16 << 20
--- a/internal/metapeer/metapeer_test.go
+++ b/internal/metapeer/metapeer_test.go
@@ -58,6 +58,16 @@
 					t.Errorf("%s: taken for an answer", fault)
 				}
 			}
+			for fault, raw := range rawhttp.Broken("Content-Type: application/json\r\n", call.body) {
+				if err := call.get(rawhttp.Serve(t, rawhttp.Always(raw))); err == nil {
+					t.Errorf("%s: taken for an answer", fault)
+				}
+			}
+			for name, raw := range rawhttp.Sound("Content-Type: application/json\r\n", call.body) {
+				if err := call.get(rawhttp.Serve(t, rawhttp.Always(raw))); err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+			}
 		})
 	}
 }
--- a/internal/platform/rpc/ends_test.go
+++ b/internal/platform/rpc/ends_test.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -9,6 +10,7 @@
 
 	egretv1 "github.com/egrethoist/egrethoist/gen/egret/v1"
 	"github.com/egrethoist/egrethoist/internal/fake/rawhttp"
+	"github.com/egrethoist/egrethoist/internal/platform"
 )
 
 // A list of instances that is cut must not be taken for the whole list: the instances behind the cut would look gone. The wire format has no
@@ -47,3 +49,27 @@
 		}
 	}
 }
+
+// An answer of the platform that breaks HTTP must not be taken for one, and leaves the outcome of a write unknown.
+func TestBrokenAnswersFail(t *testing.T) {
+	const fields = "Content-Type: application/proto\r\n"
+	raw, err := proto.Marshal(&egretv1.CompareAndSwapResponse{Swapped: true, Version: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, answer := range rawhttp.Broken(fields, string(raw)) {
+		client := NewPlainClient(rawhttp.Serve(t, rawhttp.Always(answer)))
+		if _, err := client.CompareAndSwap(t.Context(), "k", 0, []byte("v"), 0); !errors.Is(err, platform.ErrOutcomeUnknown) {
+			t.Errorf("%s: %v, want %v", name, err, platform.ErrOutcomeUnknown)
+		}
+		if list, _, err := client.List(t.Context()); err == nil {
+			t.Errorf("%s: a list of %d instances", name, len(list))
+		}
+	}
+	for name, answer := range rawhttp.Sound(fields, string(raw)) {
+		client := NewPlainClient(rawhttp.Serve(t, rawhttp.Always(answer)))
+		if version, err := client.CompareAndSwap(t.Context(), "k", 0, []byte("v"), 0); err != nil || version != 7 {
+			t.Errorf("%s: version %d, %v", name, version, err)
+		}
+	}
+}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -142,15 +142,13 @@
 // read reads response heads until one belongs to r, and stores that response. It skips interim responses and responses to earlier
 // requests.
 func (e *Exchange) read(r *Request) error {
+	interim := false
 	for range maxResponses {
-		resp, err := e.conn.readHead(r.Method)
+		resp, err := e.conn.readHead(r.Method, interim)
 		if err != nil {
 			return err
 		}
-		switch {
-		case resp.StatusCode < 100:
-			return fmt.Errorf("invalid status %d", resp.StatusCode)
-		case resp.StatusCode < 200:
+		if interim = resp.StatusCode < 200; interim {
 			continue
 		}
 		id := r.WantID
@@ -177,8 +175,18 @@
 // errMissingID is returned for a response without a request ID on a reused connection, where it may belong to an earlier request.
 var errMissingID = errors.New("response without a request ID on a reused connection")
 
-// readHead reads a response head. It returns errHeadTooLarge if the head exceeds tcp.MaxResponseHeaderBytes.
-func (c *Conn) readHead(method string) (*http.Response, error) {
+// readHead reads a response head, which may follow that of an interim response. It returns errHeadTooLarge if the head exceeds
+// tcp.MaxResponseHeaderBytes.
+func (c *Conn) readHead(method string, afterInterim bool) (*http.Response, error) {
+	if !afterInterim {
+		buffered, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if err := c.Expect(buffered); err != nil {
+			return nil, err
+		}
+	}
 	c.limiter.remaining = tcp.MaxResponseHeaderBytes
 	defer func() { c.limiter.remaining = noLimit }()
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -65,7 +65,7 @@
 
 // Conn is a pooled connection, which carries one request at a time.
 type Conn struct {
-	net.Conn
+	*httpclient.Conn
 	pool        *Pool
 	limiter     *headLimiter
 	reader      *bufio.Reader // reads from limiter
