--- a/internal/fake/rawhttp/broken.go
+++ b/internal/fake/rawhttp/broken.go
@@ -30,6 +30,38 @@
 	for name, reason := range map[string]string{"0x00": "O\x00K", "0x01": "\x01", "bare CR": "O\rK", "0x7f": "\x7f"} {
 		add("reason with "+name, "HTTP/1.1 200 "+reason, "", length, body)
 	}
+	for name, line := range map[string]string{
+		"blank inside":           "X Y: 1\r\n",
+		"blank at the end":       "X : 1\r\n",
+		"tab":                    "X\tY: 1\r\n",
+		"tab at the end":         "X\t: 1\r\n",
+		"0x00":                   "X\x00Y: 1\r\n",
+		"0x01":                   "X\x01: 1\r\n",
+		"0x7f":                   "X\x7f: 1\r\n",
+		"0x80":                   "X\x80: 1\r\n",
+		"bare CR":                "X\rY: 1\r\n",
+		"quotes":                 "\"X\": 1\r\n",
+		"brackets":               "X[1]: 1\r\n",
+		"slash":                  "X/Y: 1\r\n",
+		"no name":                ": 1\r\n",
+		"blank in a known name":  "Content Type: text/plain\r\n",
+		"blank in a folded line": "X Y: 1\r\n Z: 2\r\n",
+	} {
+		add("name with "+name, ok, line, length, body)
+		add("name with "+name+", in chunks", ok, line, chunked, chunks)
+		answers["interim name with "+name] = "HTTP/1.1 103 Hints\r\n" + line + "\r\n" + ok + "\r\n" + fields + length + "\r\n" + body
+	}
+	for name, line := range map[string]string{"0x00": "X: a\x00b\r\n", "0x01": "X: \x01\r\n", "bare CR": "X: a\rb\r\n", "0x7f": "X: \x7f\r\n"} {
+		add("value with "+name, ok, line, length, body)
+	}
+	add("line without a colon", ok, "X\r\n", length, body)
+	answers["folded line before all others"] = ok + "\r\n X: 1\r\n" + fields + length + "\r\n" + body
+	// What these say of the body's length does not count for net/http.
+	add("length with a blank", ok, fmt.Sprintf("Content-Length : %d\r\n", max(len(body)-2, 1)), "", body)
+	add("length with a blank inside", ok, fmt.Sprintf("Content Length: %d\r\n", max(len(body)-2, 1)), "", body)
+	add("length with a blank beside another one", ok, "Content-Length : 1\r\n", length, body)
+	add("chunks with a blank", ok, "Transfer-Encoding : chunked\r\n", "", chunks)
+	add("chunks with a blank beside a length", ok, "Transfer-Encoding : chunked\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(chunks)), chunks)
 	return answers
 }
 
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -11,8 +11,8 @@
 // errMalformed is returned for an answer that breaks HTTP/1. Whether the server has executed the request is unknown.
 var errMalformed = errors.New("answer breaks HTTP/1")
 
-// headCheck checks the heads of the answer to one request, those of interim answers included, while their bytes arrive. It is stricter than
-// net/http, and sees what net/http corrects or drops when it parses a head. Framing is left to net/http. The zero value expects no head.
+// headCheck checks the heads of the answer to one request, those of interim answers included, while their bytes arrive. It refuses what net/http
+// accepts, corrects or drops when it parses a head; what net/http refuses, and framing, are left to it. The zero value expects no head.
 type headCheck struct {
 	active  bool   // the end of the final answer's head has not arrived
 	interim bool   // the present head is that of an interim answer
@@ -57,6 +57,12 @@
 		return h.checkStatusLine(line)
 	case len(line) == 0:
 		h.active, h.begun = h.interim, false
+	case line[0] == ' ' || line[0] == '\t': // continues the line before
+	default:
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if !httpguts.ValidHeaderFieldName(string(name)) {
+			return fmt.Errorf("field name %.100q", name)
+		}
 	}
 	return nil
 }
