httpclient: one function reads responses from connections, one limit holds for heads

targetconn had the calls that say where a head begins and the limit of a head's size; both are ReadResponse and the check of heads now, for whoever reads from a connection without a transport. The limit of 64 KiB holds for all heads of an answer together, as in http.Transport, where targetconn counted each of up to four alone. No behaviour of sound answers changes; the tests of unbounded heads stay as they were.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -50,6 +50,13 @@
 	return err
 }
 
+// expectsHead reports whether the next byte from the server belongs to a head.
+func (c *Conn) expectsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.active
+}
+
 // checkHead checks bytes from the server and returns how many of them may be read. c.mu must be held.
 func (c *Conn) checkHead(p []byte) (int, error) {
 	n, err := c.head.check(p)
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -6,15 +6,20 @@
 	"fmt"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 // errMalformed is returned for an answer that breaks HTTP/1. Whether the server has executed the request is unknown.
 var errMalformed = errors.New("answer breaks HTTP/1")
 
+var errHeadTooLarge = errors.New("head of an answer is too large")
+
 // headCheck checks the heads of the answer to one request, those of interim answers included, while their bytes arrive. It refuses what net/http
 // accepts, corrects or drops when it parses a head; what net/http refuses, and framing, are left to it. The zero value expects no head.
 type headCheck struct {
 	active  bool   // the end of the final answer's head has not arrived
+	size    int    // bytes of all heads so far
 	interim bool   // the present head is that of an interim answer
 	begun   bool   // the status line has arrived
 	line    []byte // that has not arrived wholly
@@ -27,9 +32,13 @@
 // an error: a parser that gets no more than these cannot complete the head.
 func (h *headCheck) check(p []byte) (int, error) {
 	for offset := 0; h.active && offset < len(p); {
+		if h.size > tcp.MaxResponseHeaderBytes {
+			return offset, errHeadTooLarge
+		}
 		end := bytes.IndexByte(p[offset:], '\n')
 		if end < 0 {
 			h.line = append(h.line, p[offset:]...)
+			h.size += len(p) - offset
 			break
 		}
 		line := p[offset : offset+end]
@@ -41,6 +50,7 @@
 			return offset + end, fmt.Errorf("%w: %w", errMalformed, err)
 		}
 		h.line = h.line[:0]
+		h.size += end + 1
 		offset += end + 1
 	}
 	return len(p), nil
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -6,14 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/egrethoist/egrethoist/internal/bootclock"
-	"github.com/egrethoist/egrethoist/internal/tcp"
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 )
 
 const (
@@ -142,13 +141,12 @@
 // read reads response heads until one belongs to r, and stores that response. It skips interim responses and responses to earlier
 // requests.
 func (e *Exchange) read(r *Request) error {
-	interim := false
 	for range maxResponses {
-		resp, err := e.conn.readHead(r.Method, interim)
+		resp, err := httpclient.ReadResponse(e.conn.Conn, e.conn.reader, r.Method)
 		if err != nil {
 			return err
 		}
-		if interim = resp.StatusCode < 200; interim {
+		if resp.StatusCode < 200 {
 			continue
 		}
 		id := r.WantID
@@ -175,46 +173,6 @@
 // errMissingID is returned for a response without a request ID on a reused connection, where it may belong to an earlier request.
 var errMissingID = errors.New("response without a request ID on a reused connection")
 
-// readHead reads a response head, which may follow that of an interim response. It returns errHeadTooLarge if the head exceeds
-// tcp.MaxResponseHeaderBytes.
-func (c *Conn) readHead(method string, afterInterim bool) (*http.Response, error) {
-	if !afterInterim {
-		buffered, err := c.reader.Peek(c.reader.Buffered())
-		if err != nil {
-			return nil, err
-		}
-		if err := c.Expect(buffered); err != nil {
-			return nil, err
-		}
-	}
-	c.limiter.remaining = tcp.MaxResponseHeaderBytes
-	defer func() { c.limiter.remaining = noLimit }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
-}
-
-// headLimiter reads from a connection and bounds the number of bytes read while a response head is parsed.
-type headLimiter struct {
-	net.Conn
-	remaining int // bytes that may still be read for the head, or noLimit
-}
-
-const noLimit = -1
-
-var errHeadTooLarge = errors.New("response head too large")
-
-// Read implements io.Reader. It returns errHeadTooLarge once the limit is used up.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining == noLimit {
-		return l.Conn.Read(p)
-	}
-	if l.remaining == 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.Conn.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // Read reads the response body. If the context of Send has ended, the error is its cause.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.Response.Body.Read(p)
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -67,8 +67,7 @@
 type Conn struct {
 	*httpclient.Conn
 	pool        *Pool
-	limiter     *headLimiter
-	reader      *bufio.Reader // reads from limiter
+	reader      *bufio.Reader // reads from Conn
 	used        bool          // has carried a request
 	idleSince   bootclock.Moment
 	idleTimeout time.Duration
@@ -147,8 +146,7 @@
 		return nil, err
 	}
 	checked := httpclient.NewConn(conn)
-	limiter := &headLimiter{checked, noLimit}
-	return &Conn{Conn: checked, pool: p, limiter: limiter, reader: bufio.NewReaderSize(limiter, bufferSize), idleSince: bootclock.At(time.Now(), p.clock()), idleTimeout: defaultIdleTimeout}, nil
+	return &Conn{Conn: checked, pool: p, reader: bufio.NewReaderSize(checked, bufferSize), idleSince: bootclock.At(time.Now(), p.clock()), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // release returns the connection to the idle stack, or closes it if the pool is closed or over its limit. It keeps idleSince, which
