--- a/internal/fake/rawhttp/broken.go
+++ b/internal/fake/rawhttp/broken.go
@@ -50,6 +50,7 @@
 		add("name with "+name, ok, line, length, body)
 		add("name with "+name+", in chunks", ok, line, chunked, chunks)
 		answers["interim name with "+name] = "HTTP/1.1 103 Hints\r\n" + line + "\r\n" + ok + "\r\n" + fields + length + "\r\n" + body
+		answers["trailer with "+name] = ok + "\r\n" + fields + chunked + "\r\n" + strings.TrimSuffix(chunks, "\r\n") + line + "\r\n"
 	}
 	for name, line := range map[string]string{"0x00": "X: a\x00b\r\n", "0x01": "X: \x01\r\n", "bare CR": "X: a\rb\r\n", "0x7f": "X: \x7f\r\n"} {
 		add("value with "+name, ok, line, length, body)
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -61,8 +61,9 @@
 
 // RoundTrip implements http.RoundTripper. It returns an error for an answer that breaks HTTP.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn *Conn // nil with HTTP/2
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*Conn); ok { // not with HTTP/2
+		if conn, _ = info.Conn.(*Conn); conn != nil {
 			_ = conn.Expect(nil) // fails on bytes only
 		}
 	}}
@@ -71,6 +72,9 @@
 		return nil, err
 	}
 	resp.Request = req
+	if conn != nil {
+		checkTrailer(resp, conn)
+	}
 	return resp, nil
 }
 
