--- a/internal/fake/rawhttp/broken.go
+++ b/internal/fake/rawhttp/broken.go
@@ -63,6 +63,24 @@
 	add("length with a blank beside another one", ok, "Content-Length : 1\r\n", length, body)
 	add("chunks with a blank", ok, "Transfer-Encoding : chunked\r\n", "", chunks)
 	add("chunks with a blank beside a length", ok, "Transfer-Encoding : chunked\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(chunks)), chunks)
+	for _, version := range []string{"HTTP/2.0", "HTTP/2", "HTTP/0.9", "HTTP/3.0", "HTTP/1", "HTTP/1.", "HTTP/1.1.1", "HTTP/11.1", "http/1.1", "HTTPS/1.1", "HTTP/1,1", "HTTP/-1.1", "ICY", ""} {
+		add("version "+version, version+" 200 OK", "", length, body)
+		add("version "+version+", in chunks", version+" 200 OK", "", chunked, chunks)
+		add("version "+version+", without a length", version+" 200 OK", "", "", body)
+	}
+	answers["no status line"] = fields + length + "\r\n" + body
+	answers["only a body"] = body
+	// HTTP/1.0 has no chunks: what the sender means is unknown.
+	add("chunks of HTTP/1.0", "HTTP/1.0 200 OK", "", chunked, chunks)
+	add("chunks of HTTP/1.0 with a length", "HTTP/1.0 200 OK", chunked, fmt.Sprintf("Content-Length: %d\r\n", len(chunks)), chunks)
+	add("chunks of HTTP/1.0 in a folded line", "HTTP/1.0 200 OK", "", "Transfer-Encoding:\r\n chunked\r\n", chunks)
+	add("another encoding", ok, "", "Transfer-Encoding: gzip\r\n", body)
+	add("another encoding, then chunks", ok, "", "Transfer-Encoding: gzip, chunked\r\n", chunks)
+	add("chunks twice", ok, chunked, chunked, chunks)
+	add("two lengths", ok, "Content-Length: 1\r\n", length, body)
+	for _, value := range []string{"", "+1", "-1", "0x1", "1,1", "1, 2", "1 1", "one", "99999999999999999999"} {
+		add("length "+value, ok, "", "Content-Length: "+value+"\r\n", body)
+	}
 	return answers
 }
 
@@ -90,5 +108,7 @@
 		"other bytes in a value": "HTTP/1.1 200 OK\r\nX: \xe9t\xe9\r\n" + rest,
 		"with a trailer":         "HTTP/1.1 200 OK\r\n" + chunked + "Trailer: X-Sum\r\n\r\n" + chunks + "X-Sum: 1\r\n\r\n",
 		"same length twice":      "HTTP/1.1 200 OK\r\n" + length + rest,
+		"later minor version":    "HTTP/1.2 200 OK\r\n" + rest,
+		"length beside chunks":   "HTTP/1.1 200 OK\r\n" + length + chunked + "\r\n" + chunks + "\r\n", // chunks override it
 	}
 }
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -57,6 +57,16 @@
 	return c.head.active
 }
 
+// explain returns what is wrong with a head if that is why a reader of answers failed, and otherwise the error of the reader.
+func (c *Conn) explain(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return c.broken
+	}
+	return err
+}
+
 // checkHead checks bytes from the server and returns how many of them may be read. c.mu must be held.
 func (c *Conn) checkHead(p []byte) (int, error) {
 	n, err := c.head.check(p)
--- a/internal/httpclient/response.go
+++ b/internal/httpclient/response.go
@@ -24,7 +24,7 @@
 	}
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err != nil {
-		return nil, err
+		return nil, conn.explain(err)
 	}
 	checkTrailer(resp, conn)
 	return resp, nil
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -69,6 +69,9 @@
 	}}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		if conn != nil {
+			err = conn.explain(err)
+		}
 		return nil, err
 	}
 	resp.Request = req
