--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -10,8 +10,8 @@
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
-// errMalformed is returned for an answer that breaks HTTP/1. Whether the server has executed the request is unknown.
-var errMalformed = errors.New("answer breaks HTTP/1")
+// errMalformed is returned for an answer that breaks HTTP. Whether the server has executed the request is unknown.
+var errMalformed = errors.New("answer breaks HTTP")
 
 var errHeadTooLarge = errors.New("head of an answer is too large")
 
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
@@ -75,11 +77,25 @@
 		return nil, err
 	}
 	resp.Request = req
-	if conn != nil {
-		checkTrailer(resp, conn)
+	if conn == nil {
+		if err := CheckHTTP2(resp); err != nil {
+			return nil, err
+		}
+		return resp, nil
 	}
+	checkTrailer(resp, conn)
 	return resp, nil
 }
 
+// CheckHTTP2 returns an error if the status of a response over HTTP/2 is invalid, and closes its body then. net/http checks all else that arrives in frames.
+func CheckHTTP2(resp *http.Response) error {
+	code, _, _ := strings.Cut(resp.Status, " ")
+	if validStatus([]byte(code)) && resp.StatusCode >= http.StatusOK {
+		return nil
+	}
+	_ = resp.Body.Close() // the response is not used
+	return fmt.Errorf("%w: status %.20q", errMalformed, code)
+}
+
 // CloseIdleConnections closes the connections that carry no call.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
@@ -42,6 +44,9 @@
 // Unwrap returns the underlying error.
 func (e *DialError) Unwrap() error { return e.Err }
 
+// errNoHTTP2 is why a connection to a peer that does not speak HTTP/2 is not used.
+var errNoHTTP2 = errors.New("peer does not speak HTTP/2")
+
 // Options configure a Client.
 type Options struct {
 	Addr string   // IP:port
@@ -92,9 +97,12 @@
 	c.mu.Unlock()
 	resp, err := h.Do(req)
 	if err != nil {
-		err = unprocessedError(c.opts.Addr, err)
+		return resp, unprocessedError(c.opts.Addr, err)
+	}
+	if err := httpclient.CheckHTTP2(resp); err != nil {
+		return nil, err
 	}
-	return resp, err
+	return resp, nil
 }
 
 // CloseConnections closes every connection. In-flight calls fail; later calls open a new connection.
@@ -184,6 +192,10 @@
 		raw.Close()
 		return nil, &DialError{Addr: addr, Err: err}
 	}
+	if conn.ConnectionState().NegotiatedProtocol != "h2" { // net/http would speak HTTP/1 then
+		conn.Close()
+		return nil, &DialError{Addr: addr, Err: errNoHTTP2}
+	}
 	return conn, nil
 }
 
