--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -262,10 +262,14 @@
 	}
 }
 
-// handleHead delivers status and headers. In later attempts it checks that they match those already delivered.
+// maxStatus is the greatest status code of HTTP.
+const maxStatus = 599
+
+// handleHead delivers status and headers, unless the status is not one of a final response. In later attempts it checks that they match those
+// already delivered.
 func (d *dispatch) handleHead(c *routing.Candidate, res *result, m *egretv1.Head) {
 	d.applyEvent(res, attempt.HeadReceived)
-	if res.hasHead {
+	if res.hasHead || m.Status < http.StatusOK || m.Status > maxStatus {
 		d.assemblyFailed(c, res, stream.FaultMalformed)
 		return
 	}
