--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -93,7 +93,7 @@
 	if err == io.EOF {
 		err = c.end()
 	} else {
-		c.recordLoss(err)
+		c.RecordLoss(err)
 	}
 	return n, err
 }
@@ -103,13 +103,13 @@
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
 	n, err := c.Conn.Write(p)
-	c.recordLoss(err)
+	c.RecordLoss(err)
 	return n, err
 }
 
-// recordLoss records an error of the connection. EPIPE is none: the server has closed the connection in order before, or another call has
-// reported its loss.
-func (c *Conn) recordLoss(err error) {
+// RecordLoss records an error of the connection with which a call on its socket has failed, other than Read and Write. EPIPE is none: the server has
+// closed the connection in order before, or another call has been told of its loss.
+func (c *Conn) RecordLoss(err error) {
 	var errno syscall.Errno
 	if !errors.As(err, &errno) || errno == syscall.EPIPE {
 		return
--- a/internal/soak/conncallers.go
+++ b/internal/soak/conncallers.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 	"github.com/egrethoist/egrethoist/platform/standin"
 )
 
@@ -159,7 +160,7 @@
 	defer conn.readUntil(time.Time{}) // the connection may be idle for longer
 	reusable, closing, cut := true, false, false
 	for i, a := range attempts {
-		resp, err := http.ReadResponse(conn.reader, nil)
+		resp, err := httpclient.ReadResponse(conn.Conn, conn.reader, http.MethodPost)
 		if err != nil {
 			a.afterClose, a.afterCut = closing, cut
 			c.fleet.checker.checkReply(a, standin.Reply{}, "", err)
@@ -209,7 +210,8 @@
 
 // directConn is a connection to an instance without a link between.
 type directConn struct {
-	*net.TCPConn
+	*httpclient.Conn
+	socket *net.TCPConn // that Conn wraps
 	reader *bufio.Reader
 }
 
@@ -220,7 +222,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &directConn{c.(*net.TCPConn), bufio.NewReader(c)}, nil
+	checked := httpclient.NewConn(c)
+	return &directConn{checked, c.(*net.TCPConn), bufio.NewReader(checked)}, nil
 }
 
 func (c *directConn) close() { _ = c.Close() }
@@ -240,7 +243,7 @@
 	}
 	const enough = 64
 	buffer := make([]byte, enough)
-	raw, err := c.SyscallConn()
+	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
@@ -255,6 +258,7 @@
 	case errors.Is(received, syscall.EAGAIN):
 		return nil, nil
 	case received != nil:
+		c.RecordLoss(received) // the kernel won't report it to a read again
 		return nil, received
 	case n == 0:
 		return nil, io.EOF
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/egrethoist/egrethoist/internal/httpclient"
 )
 
 // link is a TCP proxy on the loopback interface in front of one part. It injects network faults without changes to the programs.
@@ -30,11 +32,19 @@
 
 // linkConn is a client's connection and the connection to the backend that it is forwarded to.
 type linkConn struct {
-	client, server *net.TCPConn
+	client, server linkEnd
 	silent         atomic.Bool // data in both directions is held back for good
 	closed         atomic.Bool
 }
 
+// linkEnd is a connection of a link. Its reads tell an orderly end from a reset of which the other direction has learned.
+type linkEnd struct {
+	*httpclient.Conn
+	socket *net.TCPConn // that Conn wraps
+}
+
+func newLinkEnd(socket *net.TCPConn) linkEnd { return linkEnd{httpclient.NewConn(socket), socket} }
+
 // newLink starts a link that listens on address; port 0 selects a free port. It returns an error if it cannot listen.
 func newLink(address, backend string) (*link, error) {
 	l, err := net.Listen("tcp4", address)
@@ -125,7 +135,7 @@
 		reset(client)
 		return
 	}
-	c := &linkConn{client: client, server: s.(*net.TCPConn)}
+	c := &linkConn{client: newLinkEnd(client), server: newLinkEnd(s.(*net.TCPConn))}
 	k.mu.Lock()
 	k.conns[c] = true
 	k.mu.Unlock()
@@ -142,7 +152,7 @@
 
 // copy copies data from one connection to the other until either is closed. Data that a cut holds back is delivered when the
 // cut is over.
-func (k *link) copy(c *linkConn, to, from *net.TCPConn, cut *atomic.Bool, width *rate.Limiter) {
+func (k *link) copy(c *linkConn, to, from linkEnd, cut *atomic.Bool, width *rate.Limiter) {
 	const pollInterval = 10 * time.Millisecond
 	buffer := make([]byte, copyBlock)
 	for {
@@ -158,15 +168,15 @@
 		}
 		if n > 0 {
 			if _, werr := to.Write(buffer[:n]); werr != nil {
-				reset(from)
+				reset(from.socket)
 				return
 			}
 		}
 		if err != nil {
 			if err == io.EOF {
-				_ = to.CloseWrite()
+				_ = to.socket.CloseWrite()
 			} else {
-				reset(to)
+				reset(to.socket)
 			}
 			return
 		}
@@ -179,8 +189,8 @@
 	defer k.mu.Unlock()
 	for c := range k.conns {
 		c.closed.Store(true)
-		reset(c.client)
-		reset(c.server)
+		reset(c.client.socket)
+		reset(c.server.socket)
 	}
 }
 
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,6 +91,23 @@
 	}
 }
 
+// A reset that a look at the socket has found must not look like an orderly end to the read of an answer that follows.
+func TestResetFoundByPendingIsNoEnd(t *testing.T) {
+	conn, other := connect(t)
+	_ = other.SetLinger(0)
+	_ = other.Close()
+	err := error(nil)
+	for deadline := time.Now().Add(10 * time.Second); err == nil && time.Now().Before(deadline); {
+		_, err = conn.pending()
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("%v, want a reset", err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); err == io.EOF {
+		t.Error("the connection ends in order")
+	}
+}
+
 // Guards against connections that are taken for closed because a caller's deadline for an earlier answer has passed.
 func TestConnectionOutlivesTheDeadlineOfAnAnswer(t *testing.T) {
 	const left = 50 * time.Millisecond
