--- a/internal/httpserver/guard_test.go
+++ b/internal/httpserver/guard_test.go
@@ -4,11 +4,11 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"io/fs"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/egrethoist/egrethoist/internal/sourcecheck"
 )
 
 // ownServers are the directories whose code may make an http.Server: this package, servers for peers, which speak HTTP/2 over TLS, and
@@ -20,48 +20,11 @@
 
 // Guards against servers beside this package, whose planned stops and time limits close connections with requests that nobody has read.
 func TestNoOtherPackageMakesServers(t *testing.T) {
-	root := filepath.Join("..", "..")
-	checked := 0
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil {
-			return err
-		}
-		name, err := filepath.Rel(root, path)
-		if err != nil {
-			return err
-		}
-		name = filepath.ToSlash(name)
-		if d.IsDir() {
-			if name != "." && strings.HasPrefix(d.Name(), ".") || d.Name() == "testdata" {
-				return filepath.SkipDir
-			}
-			for _, dir := range ownServers {
-				if name == dir {
-					return filepath.SkipDir
-				}
-			}
-			return nil
-		}
-		if !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
-			return nil
-		}
-		checked++
-		files := token.NewFileSet()
-		file, err := parser.ParseFile(files, path, nil, parser.SkipObjectResolution)
-		if err != nil {
-			return err
-		}
+	sourcecheck.Files(t, filepath.Join("..", ".."), ownServers, func(name string, files *token.FileSet, file *ast.File) {
 		for _, pos := range madeServers(file) {
 			t.Errorf("%s:%d: makes an HTTP server; use internal/httpserver", name, files.Position(pos).Line)
 		}
-		return nil
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if checked < 100 {
-		t.Errorf("only %d files checked, want all of the module", checked)
-	}
 }
 
 // Guards against ways to make a server that the check overlooks, and against findings where none is made.
@@ -108,28 +71,12 @@
 // madeServers returns where a file makes a server of net/http: any use of the type but in a pointer type, and the functions that make
 // one. A dot import of net/http counts as well, since its names can't be followed.
 func madeServers(file *ast.File) []token.Pos {
-	var found []token.Pos
-	http := ""
-	for _, spec := range file.Imports {
-		if path, err := strconv.Unquote(spec.Path.Value); err != nil || path != "net/http" {
-			continue
-		}
-		http = "http"
-		if spec.Name != nil {
-			http = spec.Name.Name
-		}
-		if http == "." {
-			found = append(found, spec.Pos())
-		}
-	}
-	isServer := func(e ast.Expr) bool {
-		s, ok := e.(*ast.SelectorExpr)
-		if !ok || s.Sel.Name != "Server" {
-			return false
-		}
-		pkg, ok := s.X.(*ast.Ident)
-		return ok && pkg.Name == http
+	http, at := sourcecheck.Import(file, "net/http")
+	if http == "." {
+		return []token.Pos{at}
 	}
+	var found []token.Pos
+	isServer := func(e ast.Expr) bool { return sourcecheck.Selected(e, http) == "Server" }
 	ast.Inspect(file, func(n ast.Node) bool {
 		switch n := n.(type) {
 		case *ast.CompositeLit: // of pointers: elements without a type make servers
@@ -141,8 +88,7 @@
 		case *ast.StarExpr:
 			return !isServer(n.X)
 		case *ast.SelectorExpr:
-			pkg, _ := n.X.(*ast.Ident)
-			ofHTTP := pkg != nil && pkg.Name == http
+			ofHTTP := sourcecheck.Selected(n, http) != ""
 			switch n.Sel.Name {
 			case "ListenAndServe", "ListenAndServeTLS":
 				found = append(found, n.Pos())
