--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -141,6 +141,52 @@
 	}
 }
 
+// blockedConn is a connection whose writes return when released is closed.
+type blockedConn struct {
+	net.Conn
+	released chan struct{}
+}
+
+func (c blockedConn) NetConn() net.Conn { return c.Conn }
+func (c blockedConn) Read([]byte) (int, error) {
+	return 0, io.EOF // a write has taken the report of the reset
+}
+func (c blockedConn) Write([]byte) (int, error) {
+	<-c.released
+	return 0, syscall.ECONNRESET
+}
+
+// If both directions have ended, the write that may have been told of a reset decides. It is awaited, but not without a limit, and without its result nothing
+// is proved.
+func TestEndWaitsForWrite(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		client, server := dialTCP(t)
+		_ = server.SetLinger(0)
+		_ = server.Close()
+		awaitFullyClosed(t, client)
+		released := make(chan struct{})
+		conn := NewConn(blockedConn{client, released})
+		go func() { _, _ = conn.Write([]byte("x")) }()
+		for len(conn.writing) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if returns {
+			time.AfterFunc(writeEndTimeout/20, func() { close(released) })
+		}
+		start := time.Now()
+		_, err := conn.Read(make([]byte, 1))
+		if took := time.Since(start); took > 2*writeEndTimeout {
+			t.Errorf("the end took %v", took)
+		}
+		if returns && !errors.Is(err, syscall.ECONNRESET) || !returns && !errors.Is(err, errEndNotProved) {
+			t.Errorf("the write returns: %t; %v", returns, err)
+		}
+		if !returns {
+			close(released)
+		}
+	}
+}
+
 // scriptedConn is a connection without a socket whose writes and reads return given errors.
 type scriptedConn struct {
 	net.Conn
