--- a/internal/engine/httpengine/proof.go
+++ b/internal/engine/httpengine/proof.go
@@ -7,13 +7,9 @@
 	"sync"
 
 	"github.com/egrethoist/egrethoist/internal/httpclient"
-	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
-var (
-	errSealed = errors.New("connection sealed")
-	errEnded  = errors.New("connection ended before the call")
-)
+var errSealed = errors.New("connection sealed")
 
 // countedConn counts the writes that were begun and did not fail whole, and can be sealed against further ones.
 type countedConn struct {
@@ -21,25 +17,18 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
-	idle   bool // a call got the connection and has begun no write
 }
 
 // NetConn returns the connection that c wraps.
 func (c *countedConn) NetConn() net.Conn { return c.Conn }
 
-// Write fails without writing anything if the target has ended the connection before a call's first write. The transport notices such an end only
-// when its reader has run.
+// Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
 	}
-	if c.idle && !tcp.IdleAndOpen(c.Conn) {
-		c.mu.Unlock()
-		return 0, errEnded
-	}
-	c.idle = false
 	c.writes++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
@@ -60,7 +49,6 @@
 func (c *countedConn) beginCall() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
 	return c.writes
 }
 
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -4,60 +4,67 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"sync"
-	"syscall"
-	"time"
 
 	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
-// writeEndTimeout bounds the wait for a write on a connection that has ended. The kernel ends the write at once, but its goroutine may have to
-// wait for a processor.
-const writeEndTimeout = time.Second
-
-// errEndNotProved is returned in place of io.EOF if it is not known how the connection ended.
-var errEndNotProved = errors.New("connection ended, whether in order is unknown")
+var (
+	// errUnsolicited is returned for bytes that came before a request or after the end of its answer.
+	errUnsolicited = errors.New("bytes that belong to no request")
+	// errEnded is returned for a connection that the server has ended before a call was written.
+	errEnded = errors.New("connection ended before the call")
+)
 
-// Conn is a connection to an HTTP/1 server. Its Read returns io.EOF only if the server has closed the connection in order: an answer without
-// length and chunks is as long as its connection, and would be whole at any end. After Expect, Read returns an error in place of the rest of a
-// head that breaks HTTP/1.
+// Conn is a connection to an HTTP/1 server. Its Read passes on the bytes of the answers that are expected, and no others. It returns an error in place of
+// the rest of an answer that breaks HTTP/1, and io.EOF only if the server has closed the connection in order.
 type Conn struct {
-	net.Conn
-	writing chan struct{} // holds an element during a write
+	*tcp.Conn
 
-	mu     sync.Mutex
-	lost   error // with which a read or write reported that the connection is lost; nil if none did
-	head   headCheck
-	broken error // what is wrong with a head; nothing can be read from then on
+	mu      sync.Mutex
+	answer  scanner
+	rest    []byte // that were read behind the end of an answer
+	waiting bool   // a call has the connection and has written nothing yet
+	broken  error  // why the connection can't be used any more; nil if it can
 }
 
 // NewConn returns a connection that reads the answers of a server from conn.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, writing: make(chan struct{}, 1)} }
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: tcp.NewConn(conn)} }
 
-// NetConn returns the connection that c wraps.
-func (c *Conn) NetConn() net.Conn { return c.Conn }
+// Expect lets Read pass on the answer to one more request, with the given method, interim answers included.
+func (c *Conn) Expect(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer.expect(method)
+}
 
-// Expect must be called before each request: the bytes that arrive from then on begin with heads. buffered are those that were already read and
-// follow the end of the last answer. It returns an error if they break HTTP/1.
-func (c *Conn) Expect(buffered []byte) error {
+// expects reports whether the expected answer has not ended.
+func (c *Conn) expects() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.expect()
-	_, err := c.checkHead(buffered)
-	return err
+	return c.answer.state != scanEnded
+}
+
+// Unread reports whether bytes have been read that belong to no answer that was expected.
+func (c *Conn) Unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rest) > 0
 }
 
-// expectsHead reports whether the next byte from the server belongs to a head.
-func (c *Conn) expectsHead() bool {
+// beginCall is Expect for a call that has not been written. What has come or comes before its first byte is written ends the connection.
+func (c *Conn) beginCall(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.active
+	if len(c.rest) > 0 && c.broken == nil {
+		c.broken = errUnsolicited
+	}
+	c.answer.expect(method)
+	c.waiting = true
 }
 
-// explain returns what is wrong with a head if that is why a reader of answers failed, and otherwise the error of the reader.
+// explain returns why the connection can't be used any more if that is why a reader of answers failed, and otherwise the error of the reader.
 func (c *Conn) explain(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -67,79 +74,69 @@
 	return err
 }
 
-// checkHead checks bytes from the server and returns how many of them may be read. c.mu must be held.
-func (c *Conn) checkHead(p []byte) (int, error) {
-	n, err := c.head.check(p)
-	if c.broken == nil {
-		c.broken = err
-	}
-	return n, err
-}
-
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	broken := c.broken
-	c.mu.Unlock()
-	if broken != nil {
-		return 0, broken
+	if n, err := c.readRest(p); n > 0 || err != nil {
+		return n, err
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.checkHead(p[:n]) // an error of the connection is returned again
-	}
-	if err == io.EOF {
-		err = c.end()
-	} else {
-		c.RecordLoss(err)
+	if n <= 0 {
+		return n, err
 	}
-	return n, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pass(p[:n]) // an error of the connection is returned again
 }
 
-// Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
-	c.writing <- struct{}{}
-	defer func() { <-c.writing }()
-	n, err := c.Conn.Write(p)
-	c.RecordLoss(err)
-	return n, err
+// readRest passes on bytes that were read behind the end of the last answer. It returns no bytes and no error if there are none.
+func (c *Conn) readRest(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil || len(c.rest) == 0 {
+		return 0, c.broken
+	}
+	rest := c.rest
+	n := copy(p, rest)
+	c.rest = nil
+	passed, err := c.pass(p[:n])
+	c.rest = append(c.rest, rest[n:]...)
+	return passed, err
 }
 
-// RecordLoss records an error of the connection with which a call on its socket has failed, other than Read and Write. EPIPE is none: the server has
-// closed the connection in order before, or another call has been told of its loss.
-func (c *Conn) RecordLoss(err error) {
-	var errno syscall.Errno
-	if !errors.As(err, &errno) || errno == syscall.EPIPE {
-		return
+// pass returns how many bytes from the server may be passed on, and keeps those behind the end of the answer. c.mu must be held.
+func (c *Conn) pass(p []byte) (int, error) {
+	if c.waiting || c.answer.state == scanEnded {
+		c.broken = errUnsolicited
+		return 0, c.broken
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lost == nil {
-		c.lost = err
+	n, err := c.answer.scan(p)
+	if err != nil {
+		c.broken = err
+	} else if n < len(p) {
+		c.rest = append(c.rest, p[n:]...)
 	}
+	return n, err
 }
 
-// end returns io.EOF if the server has closed the connection in order. The kernel reports that a connection is lost to one call only, a read or
-// a write, and later reads return no bytes and no error, like those after an orderly close.
-func (c *Conn) end() error {
-	switch closed, err := tcp.FullyClosed(c.Conn); {
-	case err == nil && !closed:
-		return io.EOF // the direction to the server is still open
-	case err == nil:
-		// A write that is under way may have been told of the loss.
-		select {
-		case c.writing <- struct{}{}:
-			<-c.writing
-		case <-time.After(writeEndTimeout):
-			return errEndNotProved
-		}
+// Write implements net.Conn. It fails without writing anything if the first write of a call finds that the server has ended the connection, or has sent
+// bytes before.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.beginWrite(); err != nil {
+		return 0, err
 	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite returns an error if nothing may be written.
+func (c *Conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lost != nil {
-		return fmt.Errorf("connection lost: %w", c.lost)
+	if c.waiting && c.broken == nil && !tcp.IdleAndOpen(c.Conn) {
+		c.broken = errEnded
+	}
+	if c.broken != nil {
+		return c.broken
 	}
-	return io.EOF
+	c.waiting = false
+	return nil
 }
--- a/internal/httpclient/response_test.go
+++ b/internal/httpclient/response_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// What follows the end of a response in the reader's buffer must be checked, too.
+// What was read behind the end of a response in the reader's buffer must be checked, too.
 func TestReadResponseChecksBufferedHead(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	for second, ok := range map[string]bool{first: true, "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok": false, "HTTP/1.1 000 S\r\nContent-Length: 2\r\n\r\nok": false} {
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -66,7 +66,7 @@
 	var conn *Conn // nil with HTTP/2
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, _ = info.Conn.(*Conn); conn != nil {
-			_ = conn.Expect(nil) // fails on bytes only
+			conn.beginCall(req.Method)
 		}
 	}}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
@@ -83,7 +83,7 @@
 		}
 		return resp, nil
 	}
-	checkTrailer(resp, conn)
+	explainBody(resp, conn)
 	return resp, nil
 }
 
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,6 +100,50 @@
 	}
 }
 
+// Bytes behind an answer, such as a second copy of it, must not be taken for the answer to the call that uses the connection next, whether they were read with the
+// first one or not. Which goroutine of net/http is first is a race.
+func TestTransportDropsBytesBehindAnswers(t *testing.T) {
+	const callers, calls = 8, 500
+	for name, format := range map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nContent-Length: %[1]d\r\n\r\n%[2]s",
+		"in chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\n\r\n",
+	} {
+		for _, limit := range []int{0, 1} { // of connections; without one, callers wait for none
+			address := rawhttp.ServeKeepAlive(t, func(r *http.Request, _ int) string {
+				answer := fmt.Sprintf(format, len(r.URL.Path), r.URL.Path)
+				return answer + answer
+			})
+			client := &http.Client{Transport: New(&http.Transport{MaxConnsPerHost: limit})}
+			var wrong, failed atomic.Int32
+			var all sync.WaitGroup
+			for caller := range callers {
+				all.Go(func() {
+					for call := range calls {
+						path := fmt.Sprintf("/%d/%d", caller, call)
+						resp, err := client.Get("http://" + address + path)
+						if err != nil {
+							failed.Add(1)
+							continue
+						}
+						body, err := io.ReadAll(resp.Body)
+						_ = resp.Body.Close()
+						if err != nil {
+							failed.Add(1)
+						} else if string(body) != path {
+							wrong.Add(1)
+						}
+					}
+				})
+			}
+			all.Wait()
+			client.CloseIdleConnections()
+			if wrong.Load() > 0 || failed.Load() > 0 {
+				t.Errorf("%s, limit %d: %d of %d calls got the answer to another one, %d failed", name, limit, wrong.Load(), callers*calls, failed.Load())
+			}
+		}
+	}
+}
+
 // A reset during an upload must not end an answer without a length through a transport either. Which call learns of the reset is a race.
 func TestTransportResetDuringUploadIsNoEnd(t *testing.T) {
 	const tries, upload = 20, 16 << 20
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/egrethoist/egrethoist/internal/httpclient"
+	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 // link is a TCP proxy on the loopback interface in front of one part. It injects network faults without changes to the programs.
@@ -39,11 +39,11 @@
 
 // linkEnd is a connection of a link. Its reads tell an orderly end from a reset of which the other direction has learned.
 type linkEnd struct {
-	*httpclient.Conn
+	*tcp.Conn
 	socket *net.TCPConn // that Conn wraps
 }
 
-func newLinkEnd(socket *net.TCPConn) linkEnd { return linkEnd{httpclient.NewConn(socket), socket} }
+func newLinkEnd(socket *net.TCPConn) linkEnd { return linkEnd{tcp.NewConn(socket), socket} }
 
 // newLink starts a link that listens on address; port 0 selects a free port. It returns an error if it cannot listen.
 func newLink(address, backend string) (*link, error) {
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -116,7 +116,7 @@
 // Usable reports whether a request may be sent on a connection that carries none: it is open, has no unread bytes and has not reached its
 // idle timeout. Get returns a usable connection, but the target may close it while its request still waits.
 func (c *Conn) Usable() bool {
-	return c.idleSince.Elapsed(time.Now(), c.pool.clock()) < c.idleTimeout && c.reader.Buffered() == 0 && tcp.IdleAndOpen(c.Conn)
+	return c.idleSince.Elapsed(time.Now(), c.pool.clock()) < c.idleTimeout && c.reader.Buffered() == 0 && !c.Unread() && tcp.IdleAndOpen(c.Conn)
 }
 
 // popIdleOrReserve returns the most recently used idle connection. If there is none, it reserves a slot for a new connection and
--- a/internal/httpclient/conn_test.go
+++ b/internal/tcp/conn_test.go
@@ -1,4 +1,4 @@
-package httpclient
+package tcp
 
 import (
 	"errors"
@@ -8,8 +8,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/egrethoist/egrethoist/internal/tcp"
 )
 
 // dialTCP returns both ends of a TCP connection on loopback.
@@ -36,7 +34,7 @@
 func awaitFullyClosed(t *testing.T, c net.Conn) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		closed, err := tcp.FullyClosed(c)
+		closed, err := FullyClosed(c)
 		if err != nil {
 			t.Fatal(err)
 		}
