--- a/internal/httpclient/scan.go
+++ b/internal/httpclient/scan.go
@@ -36,8 +36,8 @@
 type scanner struct {
 	state     scanState
 	method    string // of the request
-	line      []byte // that has not arrived wholly
-	size      int    // bytes of all heads so far
+	line      []byte // the beginning of one that has not arrived wholly
+	size      int    // bytes of lines so far
 	remaining int64
 
 	// Of the present head:
--- a/internal/tcp/conn.go
+++ b/internal/tcp/conn.go
@@ -66,10 +66,10 @@
 	}
 }
 
-// recordLoss records an error with the Conn that a connection is or wraps, if there is one.
+// recordLoss records an error with the Conn that a connection is, embeds or wraps, if there is one.
 func recordLoss(conn net.Conn, err error) {
 	for {
-		if c, ok := conn.(*Conn); ok {
+		if c, ok := conn.(interface{ RecordLoss(err error) }); ok {
 			c.RecordLoss(err)
 			return
 		}
--- a/internal/tcp/conn_test.go
+++ b/internal/tcp/conn_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+// A reset that a look at the socket is told of must not look like an orderly end to the read that follows, also if the Conn is wrapped.
+func TestResetReportedToPeekIsNoEnd(t *testing.T) {
+	for name, wrap := range map[string]func(*Conn) net.Conn{
+		"Conn":    func(c *Conn) net.Conn { return c },
+		"wrapped": func(c *Conn) net.Conn { return struct{ *Conn }{c} },
+	} {
+		client, server := dialTCP(t)
+		_ = server.SetLinger(0)
+		_ = server.Close()
+		awaitFullyClosed(t, client)
+		conn := wrap(NewConn(client))
+		if IdleAndOpen(conn) {
+			t.Errorf("%s: open", name)
+		}
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: %v, want a reset", name, err)
+		}
+	}
+}
+
 // A reset that a read is told of must not be an end for the next read.
 func TestResetReportedToReadIsNoEnd(t *testing.T) {
 	client, server := dialTCP(t)
