--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -109,12 +109,12 @@
 	}
 	now := time.Now()
 	reply := p.gateway.opts.Protocol.ReadReply(exchange.Response.StatusCode, exchange.Response.Header)
-	cut := exchange.Drain()
+	drainErr := exchange.Drain()
 	if reply.fromOtherTarget(t.id) || reply.Misdirected {
 		return nil
 	}
 	p.gateway.opts.State.observeNotice(t, reply.Notice, 0, now)
-	if cut != nil || !reply.HasLoad || reply.Speed <= 0 || exchange.Response.StatusCode != http.StatusOK {
+	if drainErr != nil || !reply.HasLoad || reply.Speed <= 0 || exchange.Response.StatusCode != http.StatusOK {
 		return nil
 	}
 	t.reportLoad(reply, now)
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -28,7 +28,7 @@
 const MaxResponseHeaderBytes = 64 << 10
 
 // Framed reports whether the end of a response's body can be told from a cut. In HTTP/1, a body without length and chunks ends with its
-// connection, however that ends.
+// connection, which a server that is killed ends in order, too.
 func Framed(resp *http.Response) bool {
 	return resp.ProtoMajor >= 2 || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
