--- a/review/6/main.go
+++ b/review/6/main.go
@@ -20,11 +20,13 @@
 )
 
 const (
-	sessions    = 12
+	sessions    = 48
 	partTokens  = 8610                  // the shared part of a session, as on the site
 	writeTime   = 45 * time.Millisecond // of such a part: 18.432 KB a token at 32 Gbit/s, and 6 ms before
 	downTime    = 500 * time.Millisecond
 	freezeLimit = 7900 * time.Millisecond
+	rounds      = 14 // at most, until the rule breaks
+	copies      = 4  // KV-cache stores
 )
 
 // event is a change of a store's content.
@@ -162,7 +164,7 @@
 type engine struct {
 	id, address string
 	born        int64
-	store       *kvStore
+	stores      []*kvStore
 	mu          sync.Mutex
 	broken      int
 	fetched     int
@@ -194,8 +196,8 @@
 	until, _ := strconv.ParseInt(r.Header.Get("Kv-Until"), 10, 64)
 	for i, field := range strings.Split(r.Header.Get("Prompt-Prefix"), ",") {
 		part, _, _ := strings.Cut(field, ":")
-		if i < len(from) && strings.HasPrefix(from[i], e.store.address) {
-			state := e.store.state(salt, part)
+		if store := e.at(from, i); store != nil {
+			state := store.state(salt, part)
 			thrownAway := until > 0 && time.Now().Add(writeTime).UnixMilli() > until
 			rig.Note("server: request %s fetches part %s from the store, where it is %s", id, part, state)
 			e.mu.Lock()
@@ -205,12 +207,12 @@
 			}
 			e.mu.Unlock()
 		}
-		if i < len(to) && to[i] == e.store.address {
+		if store := e.at(to, i); store != nil {
 			rig.Note("server: request %s saves part %s to the store", id, part)
 			e.mu.Lock()
 			e.saves++
 			e.mu.Unlock()
-			e.store.save(salt, part)
+			store.save(salt, part)
 		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -222,6 +224,16 @@
 	}
 }
 
+// at returns the store that the i-th address of a list names, nil for none.
+func (e *engine) at(list []string, i int) *kvStore {
+	for _, s := range e.stores {
+		if i < len(list) && list[i] == s.address {
+			return s
+		}
+	}
+	return nil
+}
+
 func (e *engine) models() []any {
 	return []any{map[string]any{"name": rig.Model, "version": 1, "adapters": []string{}}}
 }
@@ -243,15 +255,19 @@
 func main() { rig.Main(run) }
 
 func run(trouble bool, d *rig.Deployment) (broken int, err error) {
-	store := &kvStore{address: "127.0.0.1:0"}
-	if err := store.start(77120); err != nil {
-		return 0, err
+	var stores []*kvStore
+	for n := range copies {
+		store := &kvStore{address: "127.0.0.1:0"}
+		if err := store.start(uint64(77120 + 1000*n)); err != nil {
+			return 0, err
+		}
+		stores = append(stores, store)
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return 0, err
 	}
-	e := &engine{id: "i-7f3a91c2", address: l.Addr().String(), born: time.Now().Add(-time.Minute).UnixMilli(), store: store}
+	e := &engine{id: "i-7f3a91c2", address: l.Addr().String(), born: time.Now().Add(-time.Minute).UnixMilli(), stores: stores}
 	go func() { _ = http.Serve(l, e) }()
 	e.heartbeat(d.Store, 1)
 	go func() {
@@ -261,7 +277,9 @@
 		}
 	}()
 	config := rig.Config(3)
-	config.Services = append(config.Services, standin.Service{Name: "prompt-vault-b", KVStoreAddress: store.address, Domain: "meseta-a", CapacityTokens: 1070334, LinkMbps: 32000, MaxReaders: 12, Managed: true})
+	for n, store := range stores {
+		config.Services = append(config.Services, standin.Service{Name: fmt.Sprintf("prompt-vault-b-%d", n), KVStoreAddress: store.address, Domain: "meseta-a", CapacityTokens: 1070334, LinkMbps: 32000, MaxReaders: 12, Managed: true})
+	}
 	d.Operator.Configure(config)
 	d.Operator.SetWeightVersion(rig.Model, 1)
 	if err := d.StartGateways(2); err != nil {
@@ -294,53 +312,66 @@
 			break
 		}
 	}
-	if fetched, saves, _ := e.count(); saves < sessions || fetched < sessions/2 {
+	if fetched, saves, _ := e.count(); saves < sessions/2 || fetched < sessions/2 {
 		return 0, fmt.Errorf("%d parts are saved and %d fetched in calm", saves, fetched)
 	}
-	for polls := 0; polls < 2; time.Sleep(2 * time.Millisecond) { // the poll of each gateway is at the store
-		store.mu.Lock()
-		polls = store.waiting
-		store.mu.Unlock()
-	}
-	frozenAt := time.Now()
-	if trouble {
-		rig.Note("trouble: %s freezes", g1.Name)
-		_ = g1.Process.Process.Signal(syscall.SIGSTOP)
-	}
-	time.Sleep(200 * time.Millisecond)
-	send(g2, sessions) // another part is saved: all polls of the store are answered
-	time.Sleep(400 * time.Millisecond)
-	if trouble {
-		rig.Note("trouble: the store crashes")
-		_ = store.server.Close()
-		time.Sleep(downTime)
-		if err := store.start(90411); err != nil {
-			return 0, err
+	for round := 1; round <= rounds && broken == 0; round++ {
+		for polls := 0; polls < copies*3/2; time.Sleep(2 * time.Millisecond) { // most of the gateways' polls are at the stores
+			polls = 0
+			for _, store := range stores {
+				store.mu.Lock()
+				polls += store.waiting
+				store.mu.Unlock()
+			}
 		}
-		rig.Note("the store is back, empty")
-	}
-	_, before, _ := e.count()
-	for i := 0; ; i++ { // until parts are saved again
-		if trouble && time.Since(frozenAt) > freezeLimit-500*time.Millisecond || i > 200 {
-			return 0, errors.New("the store is not used again in time")
+		frozenAt := time.Now()
+		if trouble {
+			rig.Note("trouble, round %d: %s freezes", round, g1.Name)
+			_ = g1.Process.Process.Signal(syscall.SIGSTOP)
 		}
-		send(g2, 100+i)
-		if _, saves, _ := e.count(); saves > before {
-			break
+		time.Sleep(200 * time.Millisecond)
+		send(g2, 1000+round) // another part is saved: all polls of the store are answered
+		time.Sleep(400 * time.Millisecond)
+		if trouble {
+			rig.Note("trouble: the stores crash")
+			for _, store := range stores {
+				_ = store.server.Close()
+			}
+			time.Sleep(downTime)
+			for n, store := range stores {
+				if err := store.start(uint64(90411 + 1000*n + round)); err != nil {
+					return 0, err
+				}
+			}
+			rig.Note("the stores are back, empty")
+		}
+		_, before, _ := e.count()
+		for i := 0; ; i++ { // until parts are saved again
+			if trouble && time.Since(frozenAt) > freezeLimit-500*time.Millisecond || i > 200 {
+				return 0, errors.New("the store is not used again in time")
+			}
+			send(g2, 2000+200*round+i)
+			if _, saves, _ := e.count(); saves > before {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		go all(g1) // these clients wait for the frozen gateway
+		go all(g2)
+		time.Sleep(10 * time.Millisecond)
+		if trouble {
+			_ = g1.Process.Process.Signal(syscall.SIGCONT)
+			rig.Note("%s wakes after %.1f s", g1.Name, time.Since(frozenAt).Seconds())
+		}
+		for woken := time.Now(); time.Since(woken) < time.Second; time.Sleep(50 * time.Millisecond) {
+			all(g1)
+		}
+		_, _, broken = e.count()
+		for range 2 { // calm: all parts are in the stores, and both gateways know it
+			time.Sleep(900 * time.Millisecond)
+			all(g2)
 		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	go all(g2)
-	time.Sleep(10 * time.Millisecond)
-	if trouble {
-		_ = g1.Process.Process.Signal(syscall.SIGCONT)
-		rig.Note("%s wakes after %.1f s", g1.Name, time.Since(frozenAt).Seconds())
-	}
-	for woken := time.Now(); time.Since(woken) < time.Second; time.Sleep(50 * time.Millisecond) {
-		all(g1)
 	}
-	time.Sleep(time.Second)
-	_, _, broken = e.count()
 	rig.Note("MIXED: requests took %d parts from the store that were being written", broken)
 	return broken, nil
 }
