--- a/review/6/main.go
+++ b/review/6/main.go
@@ -25,7 +25,7 @@
 	writeTime   = 45 * time.Millisecond // of such a part: 18.432 KB a token at 32 Gbit/s, and 6 ms before
 	downTime    = 500 * time.Millisecond
 	freezeLimit = 7900 * time.Millisecond
-	rounds      = 14 // at most, until the rule breaks
+	rounds      = 13 // at most, until the rule breaks
 	copies      = 4  // KV-cache stores
 )
 
