--- a/review/6/main.go
+++ b/review/6/main.go
@@ -25,8 +25,9 @@
 	writeTime   = 45 * time.Millisecond // of such a part: 18.432 KB a token at 32 Gbit/s, and 6 ms before
 	downTime    = 500 * time.Millisecond
 	freezeLimit = 7900 * time.Millisecond
-	rounds      = 13 // at most, until the rule breaks
-	copies      = 4  // KV-cache stores
+	rounds      = 13               // at most, until the rule breaks
+	lastRound   = 88 * time.Second // no round begins later
+	copies      = 4                // KV-cache stores
 )
 
 // event is a change of a store's content.
@@ -42,6 +43,7 @@
 
 	mu       sync.Mutex
 	server   *http.Server
+	down     bool
 	epoch    uint64
 	complete map[string]int  // tokens by salt and part
 	partial  map[string]bool // being written
@@ -59,17 +61,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address, s.epoch, s.complete, s.partial, s.events, s.changed = l.Addr().String(), epoch, map[string]int{}, map[string]bool{}, nil, make(chan struct{})
-	s.server = &http.Server{Handler: s}
+	s.server, s.down = &http.Server{Handler: s}, false
 	go func(server *http.Server) { _ = server.Serve(l) }(s.server)
 	return nil
 }
 
+// crash ends the process of the store at once.
+func (s *kvStore) crash() {
+	s.mu.Lock()
+	s.down = true
+	server := s.server
+	s.mu.Unlock()
+	_ = server.Close()
+}
+
 // save begins to write a part, unless the store holds it or it is being written.
 func (s *kvStore) save(salt, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key, epoch := salt+" "+id, s.epoch
-	if s.complete[key] > 0 || s.partial[key] {
+	if s.down || s.complete[key] > 0 || s.partial[key] {
 		return
 	}
 	s.partial[key] = true
@@ -96,6 +107,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch key := salt + " " + id; {
+	case s.down:
+		return "not to be had"
 	case s.complete[key] > 0:
 		return "whole"
 	case s.partial[key]:
@@ -315,7 +328,8 @@
 	if fetched, saves, _ := e.count(); saves < sessions/2 || fetched < sessions/2 {
 		return 0, fmt.Errorf("%d parts are saved and %d fetched in calm", saves, fetched)
 	}
-	for round := 1; round <= rounds && broken == 0; round++ {
+	begun := time.Now()
+	for round := 1; round <= rounds && broken == 0 && time.Since(begun) < lastRound; round++ {
 		for polls := 0; polls < copies*3/2; time.Sleep(2 * time.Millisecond) { // most of the gateways' polls are at the stores
 			polls = 0
 			for _, store := range stores {
@@ -335,7 +349,7 @@
 		if trouble {
 			rig.Note("trouble: the stores crash")
 			for _, store := range stores {
-				_ = store.server.Close()
+				store.crash()
 			}
 			time.Sleep(downTime)
 			for n, store := range stores {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,10 +10,13 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/egrethoist/egrethoist/platform/standin"
@@ -52,6 +55,9 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// The gateways end when the thread ends that has started them, so that is the main one.
+func init() { runtime.LockOSThread() }
+
 // Main runs a case with the arguments PROGRAM RECORD and ends the process with its result.
 func Main(run func(trouble bool, d *Deployment) (broken int, err error)) {
 	os.Exit(main(run))
@@ -71,6 +77,7 @@
 		return 2
 	}
 	defer d.close()
+	go d.endEarly()
 	broken, err := run(os.Getenv("TROUBLE") != "0", d)
 	switch {
 	case err != nil:
@@ -107,6 +114,23 @@
 	return d, nil
 }
 
+// maxTime is how long a case may run.
+const maxTime = 115 * time.Second
+
+// endEarly ends the case if it is interrupted or takes too long. The gateways end with this process.
+func (d *Deployment) endEarly() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-interrupted:
+		Note("could not run: %v", s)
+	case <-time.After(maxTime):
+		Note("could not run: not done after %v", maxTime)
+	}
+	_ = os.RemoveAll(d.dir)
+	os.Exit(2)
+}
+
 func (d *Deployment) close() {
 	for _, g := range d.Gateways {
 		_ = g.Process.Process.Kill()
@@ -248,6 +272,7 @@
 	g.Process = exec.Command(program)
 	g.Process.Env = append(os.Environ(), "EGRETHOIST_NODE_FILE="+file)
 	g.Process.Stdout, g.Process.Stderr = output, output
+	g.Process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return g, g.Process.Start()
 }
 
