--- a/internal/gateway/expiry.go
+++ b/internal/gateway/expiry.go
@@ -40,5 +40,5 @@
 	if expiry.IsZero() {
 		return expiryCheckPeriod
 	}
-	return min(max(expiry.Sub(state.versionTime(time.Now()))+weightsMargin/2, 0), expiryCheckPeriod)
+	return min(max(expiry.Sub(state.bootTime(time.Now()))+weightsMargin/2, 0), expiryCheckPeriod)
 }
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
-			c.directory.MarkUnreachable(s.Name)
+			c.directory.Invalidate(s.Name)
 			listed = false
 			if !unreachable {
 				klog.InfoS("KV-cache store not reachable", "store", s.Name, "address", s.Address, "err", err.Error())
@@ -160,11 +160,14 @@
 
 // readListing reads all parts that a store holds. It returns the position from which to read changes.
 func (c *CacheTracker) readListing(ctx context.Context, s catalog.Store) (uint64, Notice, error) {
+	begun := c.now()
 	parts, err := c.engines.StoreParts(ctx, s.Address)
 	if err != nil {
 		return 0, parts.Notice, err
 	}
-	c.directory.ReplaceContents(s.Name, parts.Epoch, changes(parts.Complete), time.Now())
+	now := c.now()
+	c.directory.ReplaceContents(s.Name, parts.Epoch, changes(parts.Complete), begun, now)
+	logLateContents(s.Name, now.Sub(begun))
 	klog.InfoS("KV-cache store listed", "store", s.Name, "epoch", parts.Epoch, "parts", len(parts.Complete), "broken", len(parts.Incomplete))
 	return parts.Next, parts.Notice, nil
 }
@@ -172,7 +175,8 @@
 // readChanges reads the changes of a store since a position. It returns the next position, and false if changes were lost so that
 // the complete listing must be read again. ErrBusy means that the store accepts no more readers at the moment.
 func (c *CacheTracker) readChanges(ctx context.Context, s catalog.Store, since uint64) (uint64, bool, Notice, error) {
-	e, err := c.engines.StoreEvents(ctx, s.Address, since, c.pollPlan(s.MaxReaders).wait)
+	wait, begun := c.pollPlan(s.MaxReaders).wait, c.now()
+	e, err := c.engines.StoreEvents(ctx, s.Address, since, wait)
 	if errors.Is(err, ErrBusy) {
 		return since, true, e.Notice, err
 	}
@@ -180,13 +184,26 @@
 		return 0, false, e.Notice, err
 	}
 	c.targetClock.sync(e.Clock)
-	if e.Gap || !c.directory.ApplyChanges(s.Name, e.Epoch, changes(e.Events), time.Now()) {
+	now := c.now()
+	asOf := answeredAt(begun, now, wait, len(e.Events) > 0)
+	if e.Gap || !c.directory.ApplyChanges(s.Name, e.Epoch, changes(e.Events), asOf) {
 		klog.InfoS("changes of a KV-cache store lost, listing it again", "store", s.Name, "epoch", e.Epoch, "gap", e.Gap)
 		return 0, false, e.Notice, nil
 	}
+	logLateContents(s.Name, now.Sub(asOf))
 	return e.Next, true, e.Notice, nil
 }
 
+// now returns the present time by which the ages of what stores hold are measured.
+func (c *CacheTracker) now() time.Time { return c.state.bootTime(time.Now()) }
+
+// logLateContents logs that the contents of a store were too old to be used when they were read.
+func logLateContents(store string, age time.Duration) {
+	if age >= directory.MaxStaleness {
+		klog.InfoS("contents of a KV-cache store came too late to be used", "store", store, "age_ms", age.Milliseconds())
+	}
+}
+
 // changes converts events of a store to changes of the directory.
 func changes(events []StoreEvent) []directory.Change {
 	out := make([]directory.Change, len(events))
@@ -340,7 +357,7 @@
 		if retired.Retired(scope.Version, p.ID) {
 			continue
 		}
-		address, ok := c.directory.Locate(directory.Key{Scope: text, Part: p.ID}, p.Tokens, now)
+		address, ok := c.directory.Locate(directory.Key{Scope: text, Part: p.ID}, p.Tokens, c.state.bootTime(now))
 		if !ok || !c.throttleByAddress(address, now).Allow(draw, now) {
 			continue
 		}
@@ -415,7 +432,7 @@
 	linkAllows := func(store string) bool { return c.throttleByAddress(store, now).Share() > throttledThreshold }
 	for i, p := range parts {
 		if !retired.Retired(scope.Version, p.ID) {
-			to[i], _ = c.directory.ReserveSave(directory.Key{Scope: text, Part: p.ID}, p.Tokens, linkAllows, now)
+			to[i], _ = c.directory.ReserveSave(directory.Key{Scope: text, Part: p.ID}, p.Tokens, linkAllows, c.state.bootTime(now))
 		}
 	}
 	return to
--- a/internal/gateway/reading.go
+++ b/internal/gateway/reading.go
@@ -41,3 +41,12 @@
 
 // jitter returns a random duration between 3/4 and 5/4 of d, so that instances that started together do not poll in step.
 func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2+1) }
+
+// answeredAt returns the earliest time at which a store can have answered a long poll that began at a time and has been answered now. The
+// answer may have waited for this process. A store answers a poll without changes only after its wait.
+func answeredAt(begun, now time.Time, wait time.Duration, changed bool) time.Time {
+	if end := begun.Add(wait); !changed && !now.Before(end) {
+		return end
+	}
+	return begun
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -222,7 +222,7 @@
 func (s *State) Tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observation.tick(s.versionTime(now))
+	s.observation.tick(s.bootTime(now))
 	if s.snapshot != nil && s.timeDependent {
 		s.rebuild(now)
 	}
@@ -413,7 +413,7 @@
 	for model, version := range v.weights {
 		s.observeNewestVersion(model, version, now)
 	}
-	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.versionTime(now), s.retired
+	v.versionHistory, v.versionTime, v.retired = s.versionHistory.Clone(), s.bootTime(now), s.retired
 	v.links = s.storeLinks(v.catalog)
 	hashes := s.instanceHashes()
 	s.software.update(v.catalog, s.softwareVersions(), now)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -27,9 +27,9 @@
 	return weightsMetrics{old: m.Gauge("targets_on_old_weights"), expired: m.Gauge("targets_on_expired_weights")}
 }
 
-// versionTime converts a time to that of versionHistory. It includes the time for which the machine was suspended, which Go's monotonic clock
-// excludes.
-func (s *State) versionTime(now time.Time) time.Time { return now.Add(s.suspended()) }
+// bootTime converts a time to one that includes the time for which the machine was suspended, which Go's monotonic clock excludes. The ages of
+// weight versions and of the contents of KV-cache stores are measured by it.
+func (s *State) bootTime(now time.Time) time.Time { return now.Add(s.suspended()) }
 
 // suspended returns the total time for which the machine was suspended since the process started.
 func (s *State) suspended() time.Duration {
@@ -118,7 +118,7 @@
 
 // beforeChange updates the observation before a reading of the metadata is applied. s.mu must be held.
 func (s *State) beforeChange(now time.Time) {
-	now = s.versionTime(now)
+	now = s.bootTime(now)
 	if !s.observation.lastTick.IsZero() {
 		s.observation.tick(now)
 	}
@@ -144,16 +144,16 @@
 		return
 	}
 	age := max(time.Duration(now.UnixMilli()-check.AtMillis)*time.Millisecond, 0)
-	s.observation.resume(s.versionTime(now).Add(-age), s.versionTime(now))
+	s.observation.resume(s.bootTime(now).Add(-age), s.bootTime(now))
 }
 
 // observeVersion records that a weight version was released age ago, or later if this instance knows that. recorded is set if another instance
 // has recorded so in the metadata store. s.mu must be held.
 func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
 	key := versionKey(model, version)
-	age = s.observation.limit(key, age, s.versionTime(now))
+	age = s.observation.limit(key, age, s.bootTime(now))
 	s.observation.see(key)
-	if s.versionHistory.Observe(model, version, age, s.versionTime(now)) {
+	if s.versionHistory.Observe(model, version, age, s.bootTime(now)) {
 		s.releasedAt[key] = now.Add(-age)
 		klog.InfoS("weight version released", "model", model, "version", version, "age_ms", age.Milliseconds(), "recorded", recorded, "metadata", s.metadataRevision)
 	}
@@ -164,7 +164,7 @@
 func (s *State) observeNewestVersion(model string, version int, now time.Time) {
 	age := time.Duration(0)
 	if !s.versionHistory.Known(model, version) {
-		age = s.observation.age(s.versionTime(now))
+		age = s.observation.age(s.bootTime(now))
 	}
 	s.observeVersion(model, version, age, false, now)
 }
@@ -186,7 +186,7 @@
 				continue
 			}
 			if old++; old == 1 {
-				now = s.versionTime(now)
+				now = s.bootTime(now)
 			}
 			if version >= s.versionHistory.MinVersion(model, now) {
 				continue
@@ -275,7 +275,7 @@
 // hasExpired reports whether the weights of a target for a model have expired. The view may have been built before that.
 func (s *State) hasExpired(v *view, t *target, model string, now time.Time) bool {
 	version := t.version(model)
-	return version < v.weights[model] && version < v.versionHistory.MinVersion(model, s.versionTime(now))
+	return version < v.weights[model] && version < v.versionHistory.MinVersion(model, s.bootTime(now))
 }
 
 // replaceView rebuilds the view if v is still the current one.
--- a/internal/kvcache/directory/directory.go
+++ b/internal/kvcache/directory/directory.go
@@ -1,7 +1,8 @@
 // Package directory tracks which KV-cache store holds which complete prompt parts, and selects the store that a part is
 // saved to. The stores neither evict nor validate anything, so a part is fetched only if its store reported it complete
-// in the current epoch, and every fetch and every save requires that the contents of that store were read recently. The
-// package does no I/O; callers pass the current time.
+// in the current epoch, and every fetch and every save requires that the contents of that store were read recently. An answer
+// of a store is as old as the store can have made it: it may have waited in the socket of a process that stood still. The
+// package does no I/O; callers pass the current time, which must include the time for which the machine was suspended.
 package directory
 
 import (
@@ -15,7 +16,7 @@
 
 const (
 	// MaxStaleness is the age from which the last read of a store's changes is no longer used. Every instance stops using
-	// a store that it has not read for this long.
+	// a store whose contents it knows only as of this long ago.
 	MaxStaleness = 1500 * time.Millisecond
 	// maxSaveStaleness is the age from which the last read of a store's changes is not used for saves: less than the shortest
 	// time in which a store restarts. So an instance that has not noticed a restart saves nothing to the store, to which another
@@ -54,8 +55,8 @@
 	Store
 	hash         uint64
 	epoch        uint64
-	loaded       bool // its contents were read at least once
-	lastRead     time.Time
+	loaded       bool      // its contents were read at least once
+	asOf         time.Time // when the store last held these contents, at the latest; zero: they are not to be used
 	holdoffUntil time.Time // no saves before this time
 	complete     map[Key]int
 	usedTokens   int // tokens of complete parts, each rounded up to whole blocks
@@ -103,10 +104,10 @@
 	Tokens int
 }
 
-// ReplaceContents replaces the known contents of a store by a full listing of its complete parts. If the epoch differs
-// from the known one, or none is known, the store may have restarted just now and accepts no saves for RestartHoldoff. Unknown
-// stores are ignored.
-func (d *Directory) ReplaceContents(store string, epoch uint64, complete []Change, now time.Time) {
+// ReplaceContents replaces the known contents of a store by a full listing of its complete parts, which the store made at asOf
+// or later. If the epoch differs from the known one, or none is known, the store may have restarted just now and accepts no
+// saves for RestartHoldoff. Unknown stores are ignored.
+func (d *Directory) ReplaceContents(store string, epoch uint64, complete []Change, asOf, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	st := d.stores[store]
@@ -116,36 +117,35 @@
 	if !st.loaded || st.epoch != epoch {
 		st.holdoffUntil = now.Add(RestartHoldoff)
 	}
-	st.epoch, st.loaded, st.lastRead = epoch, true, now
+	st.epoch, st.loaded, st.asOf = epoch, true, asOf
 	st.complete, st.usedTokens = map[Key]int{}, 0
 	for _, c := range complete {
 		st.apply(c)
 	}
 }
 
-// ApplyChanges applies changes of a store's current epoch. It returns false if the epoch differs or the contents are not
-// known yet; the caller must then list the store's contents again.
-func (d *Directory) ApplyChanges(store string, epoch uint64, changes []Change, now time.Time) bool {
+// ApplyChanges applies changes of a store's current epoch, which the store reported at asOf or later. It returns false if the
+// epoch differs or the contents are not known yet; the caller must then list the store's contents again.
+func (d *Directory) ApplyChanges(store string, epoch uint64, changes []Change, asOf time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	st := d.stores[store]
 	if st == nil || !st.loaded || st.epoch != epoch {
 		return false
 	}
-	st.lastRead = now
+	st.asOf = asOf
 	for _, c := range changes {
 		st.apply(c)
 	}
 	return true
 }
 
-// MarkUnreachable stops the use of a store that does not respond, since it may have restarted, until its contents or
-// changes are read again.
-func (d *Directory) MarkUnreachable(store string) {
+// Invalidate stops the use of a store that does not respond, since it may have restarted, until its contents or changes are read again.
+func (d *Directory) Invalidate(store string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if st := d.stores[store]; st != nil {
-		st.lastRead = time.Time{}
+		st.asOf = time.Time{}
 	}
 }
 
@@ -163,12 +163,12 @@
 
 func roundUpToBlocks(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
-// fresh reports whether the contents were read within MaxStaleness.
+// fresh reports whether the contents are less than MaxStaleness old.
 func (st *storeState) fresh(now time.Time) bool { return st.readWithin(MaxStaleness, now) }
 
-// readWithin reports whether the contents were read less than a time ago.
+// readWithin reports whether the contents are less than an age old.
 func (st *storeState) readWithin(age time.Duration, now time.Time) bool {
-	return st.loaded && !st.lastRead.IsZero() && now.Sub(st.lastRead) < age
+	return st.loaded && !st.asOf.IsZero() && now.Sub(st.asOf) < age
 }
 
 // Locate returns the address of a store that holds all tokens of the part.
--- a/internal/kvcache/directory/directory_test.go
+++ b/internal/kvcache/directory/directory_test.go
@@ -19,7 +19,7 @@
 	d := New()
 	d.SetStores(stores)
 	for _, s := range stores {
-		d.ReplaceContents(s.Name, 1, nil, start.Add(-RestartHoldoff))
+		d.ReplaceContents(s.Name, 1, nil, start.Add(-RestartHoldoff), start.Add(-RestartHoldoff))
 		d.ApplyChanges(s.Name, 1, nil, start)
 	}
 	return d
@@ -101,7 +101,7 @@
 	if _, ok := d.Locate(key(1), 1000, start.Add(MaxStaleness)); !ok {
 		t.Error("part not found from fresh contents")
 	}
-	d.MarkUnreachable("s")
+	d.Invalidate("s")
 	if _, ok := d.Locate(key(1), 1000, start.Add(MaxStaleness)); ok {
 		t.Error("part found in a store that is unreachable")
 	}
@@ -116,7 +116,7 @@
 		t.Fatal("changes of another epoch were applied")
 	}
 	restarted := start.Add(2 * time.Second)
-	d.ReplaceContents("s", 2, nil, restarted)
+	d.ReplaceContents("s", 2, nil, restarted, restarted)
 	if _, ok := d.Locate(key(1), 1000, restarted); ok {
 		t.Error("part found although the store lost it in the restart")
 	}
@@ -137,13 +137,13 @@
 	for i, address := range []string{"a", "b"} {
 		listed := start.Add(time.Duration(i) * time.Minute)
 		d.SetStores([]Store{{Name: "s", Address: address, CapacityTokens: 100_000}})
-		d.ReplaceContents("s", 1, nil, listed)
+		d.ReplaceContents("s", 1, nil, listed, listed)
 		if _, ok := d.ReserveSave(key(i), 1000, anyLink, listed.Add(time.Second)); ok {
 			t.Errorf("address %s: saved within the hold-off after the first listing", address)
 		}
 		holdoffEnd := listed.Add(RestartHoldoff)
-		d.MarkUnreachable("s")
-		d.ReplaceContents("s", 1, nil, holdoffEnd)
+		d.Invalidate("s")
+		d.ReplaceContents("s", 1, nil, holdoffEnd, holdoffEnd)
 		if _, ok := d.ReserveSave(key(i), 1000, anyLink, holdoffEnd); !ok {
 			t.Errorf("address %s: not saved after the hold-off", address)
 		}
@@ -168,8 +168,8 @@
 func TestSavesInProportionToCapacity(t *testing.T) {
 	d := New()
 	d.SetStores([]Store{{Name: "small", Address: "a", CapacityTokens: 1_000_000}, {Name: "large", Address: "b", CapacityTokens: 5_000_000}})
-	d.ReplaceContents("small", 1, nil, start)
-	d.ReplaceContents("large", 1, nil, start)
+	d.ReplaceContents("small", 1, nil, start, start)
+	d.ReplaceContents("large", 1, nil, start, start)
 	count := map[string]int{}
 	for i := range 3000 {
 		if address, ok := d.ReserveSave(key(i), 100, anyLink, start); ok {
--- a/internal/kvcache/directory/restart_test.go
+++ b/internal/kvcache/directory/restart_test.go
@@ -50,8 +50,10 @@
 
 // simulatedInstance is an instance that reads the store now and then.
 type simulatedInstance struct {
-	directory *Directory
-	nextRead  time.Time
+	directory   *Directory
+	nextRead    time.Time
+	frozenUntil time.Time // it does nothing before
+	answer      func(now time.Time)
 }
 
 // within returns a random duration of less than d.
@@ -59,8 +61,8 @@
 	return time.Duration(rng.Int64N(int64(d)))
 }
 
-// A store restarts empty after an outage that no instance need notice at once, and instances start at any time. None may fetch a part while
-// another one writes it again.
+// A store restarts empty after an outage that no instance need notice at once, and instances start and stand still at any time: an answer of the
+// store may wait for one that does. None may fetch a part while another one writes it again.
 func TestNoFetchWhilePartIsWrittenAgain(t *testing.T) {
 	const (
 		step         = 25 * time.Millisecond
@@ -88,13 +90,25 @@
 					in.directory.SetStores(list)
 					in.nextRead = now
 				}
+				if now.Before(in.frozenUntil) {
+					continue
+				}
+				if in.answer != nil {
+					in.answer(now)
+					in.answer = nil
+				}
 				if !now.Before(in.nextRead) && !now.Before(store.down) {
 					var contents []Change
 					if store.complete {
 						contents = []Change{{Added: true, Key: part, Tokens: 100}}
 					}
-					in.directory.ReplaceContents("s", store.epoch, contents, now)
+					directory, epoch, asOf := in.directory, store.epoch, now
+					in.answer = func(now time.Time) { directory.ReplaceContents("s", epoch, contents, asOf, now) }
 					in.nextRead = now.Add(300*time.Millisecond + within(rng, 1500*time.Millisecond))
+					if rng.IntN(10) == 0 {
+						in.frozenUntil = now.Add(within(rng, 6*time.Second))
+						continue
+					}
 				}
 				if rng.IntN(requestEvery) > 0 {
 					continue
