--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -187,6 +187,7 @@
 	now := c.now()
 	asOf := answeredAt(begun, now, wait, len(e.Events) > 0)
 	if e.Gap || !c.directory.ApplyChanges(s.Name, e.Epoch, changes(e.Events), asOf) {
+		c.directory.Invalidate(s.Name)
 		klog.InfoS("changes of a KV-cache store lost, listing it again", "store", s.Name, "epoch", e.Epoch, "gap", e.Gap)
 		return 0, false, e.Notice, nil
 	}
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -48,7 +48,8 @@
 	return StoreEvents{Epoch: a.epoch, Gap: a.gap, Events: a.events}, err
 }
 
-// Guards against fetches by what a KV-cache store held seconds ago: the process or its machine stood still while an answer waited for it.
+// Guards against fetches by what a KV-cache store held seconds ago: the process or its machine stood still while an answer waited for it, or
+// the store is known to have restarted or to have lost changes, and is not listed again yet.
 func TestFetchesNeedContentsThatAreStillTrue(t *testing.T) {
 	const frozen = 4 * time.Second
 	scope := CacheScope{Model: "m", Version: 1}
@@ -67,6 +68,8 @@
 		"late listing":             {listings: []storeAnswer{{epoch: 1, events: held, takes: frozen}}},
 		"late changes":             {listings: []storeAnswer{listing}, polls: []storeAnswer{{epoch: 1, events: other, takes: frozen}}},
 		"late word of no changes":  {listings: []storeAnswer{listing}, polls: []storeAnswer{{epoch: 1, takes: frozen}}},
+		"another epoch":            {listings: []storeAnswer{listing}, polls: []storeAnswer{{epoch: 2}}},
+		"lost changes":             {listings: []storeAnswer{listing}, polls: []storeAnswer{{epoch: 1, gap: true}}},
 		"another epoch, then late": {listings: []storeAnswer{listing, {epoch: 2, events: held, takes: frozen}}, polls: []storeAnswer{{epoch: 2}}},
 		"suspended machine":        {listings: []storeAnswer{listing}, suspended: frozen},
 	} {
--- a/internal/kvcache/directory/directory.go
+++ b/internal/kvcache/directory/directory.go
@@ -125,12 +125,16 @@
 }
 
 // ApplyChanges applies changes of a store's current epoch, which the store reported at asOf or later. It returns false if the
-// epoch differs or the contents are not known yet; the caller must then list the store's contents again.
+// epoch differs or the contents are not known yet: the store is then not used until its contents are listed again.
 func (d *Directory) ApplyChanges(store string, epoch uint64, changes []Change, asOf time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	st := d.stores[store]
-	if st == nil || !st.loaded || st.epoch != epoch {
+	if st == nil {
+		return false
+	}
+	if !st.loaded || st.epoch != epoch {
+		st.asOf = time.Time{}
 		return false
 	}
 	st.asOf = asOf
@@ -140,7 +144,8 @@
 	return true
 }
 
-// Invalidate stops the use of a store that does not respond, since it may have restarted, until its contents or changes are read again.
+// Invalidate stops the use of a store until its contents or changes are read again: it does not respond and may have restarted, or
+// some of its changes were lost.
 func (d *Directory) Invalidate(store string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
