--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -108,11 +108,11 @@
 	return errors.Is(err, errStaleChoice) || errors.Is(err, errConnectionEnded)
 }
 
-// revalidate checks the chosen target against fresh metadata just before the request is sent, since the process may have been
-// suspended after the choice. It returns errStaleChoice if the target must not be used any more, and the context's error if the
-// request has ended.
+// revalidate checks the chosen target against the newest metadata just before the request is sent, since the process may have been
+// suspended after the choice. It does not wait. It returns errStaleChoice if the target must not be used any more, and the context's
+// error if the request has ended.
 func (rq *request) revalidate(t *target) error {
-	v := rq.gateway.opts.State.freshView(rq.ctx)
+	v := rq.gateway.opts.State.current.Load()
 	if err := rq.ctx.Err(); err != nil {
 		return err
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -369,10 +369,13 @@
 	}
 	result.connected = time.Now()
 	version := t.version(rq.call.Model)
-	header := rq.gateway.opts.Protocol.TargetHeaders(rq.incoming.Header, rq.forwardParams(t, version, result.connected))
 	err = rq.beginRolloutAttempt(t)
 	defer rq.endRolloutAttempt(result)
+	var header http.Header
 	if err == nil {
+		rq.gateway.opts.State.waitFresh(rq.ctx)
+		// After all waits, since the cache scope and what is known of KV-cache stores may have changed meanwhile.
+		header = rq.gateway.opts.Protocol.TargetHeaders(rq.incoming.Header, rq.forwardParams(t, version, time.Now()))
 		err = rq.revalidate(t)
 	}
 	if err == nil && !conn.Usable() {
@@ -499,8 +502,9 @@
 		return params
 	}
 	params.HasPriority, params.Priority = true, rq.urgency
-	params.CacheScope, params.WeightVersion = rq.cacheScope(version).String(), version
-	rq.planTransfers(&params, t, now)
+	scope := rq.cacheScope(version)
+	params.CacheScope, params.WeightVersion = scope.String(), version
+	rq.planTransfers(&params, t, scope, now)
 	return params
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,8 @@
 // PromptCache decides from where targets fetch cached parts of prompts and to which KV-cache stores they save them.
 type PromptCache interface {
 	// FetchSources returns the address of the store to fetch each part from, empty for none. draw is a random number, uniform in
-	// [0, 1), that decides whether a fetch from a throttled store is allowed.
+	// [0, 1), that decides whether a fetch from a throttled store is allowed. What it returns holds at now only: a fetch needs a deadline
+	// that was computed before.
 	FetchSources(scope CacheScope, parts []Part, draw float64, now time.Time) []string
 	// FetchDeadline returns the time after d in milliseconds on the targets' clock, zero if that clock is unknown.
 	FetchDeadline(d time.Duration) int64
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/egrethoist/egrethoist/internal/catalog"
 	"github.com/egrethoist/egrethoist/internal/kvcache/directory"
+	"github.com/egrethoist/egrethoist/internal/kvcache/holders"
 )
 
 // storeAnswer is an answer of a KV-cache store, which is handled some time after the call began.
@@ -94,3 +95,54 @@
 		})
 	}
 }
+
+// changingCache is a PromptCache whose answers a test changes.
+type changingCache struct {
+	PromptCache
+	source, destination string
+	asked               []string // names of the methods called, in order
+}
+
+func (c *changingCache) list(address string, parts []Part) []string {
+	out := make([]string, len(parts))
+	for i := range out {
+		out[i] = address
+	}
+	return out
+}
+
+func (c *changingCache) FetchSources(_ CacheScope, parts []Part, _ float64, _ time.Time) []string {
+	c.asked = append(c.asked, "sources")
+	return c.list(c.source, parts)
+}
+
+func (c *changingCache) SaveDestinations(_ CacheScope, parts []Part, _ time.Time) []string {
+	return c.list(c.destination, parts)
+}
+
+func (c *changingCache) FetchDeadline(time.Duration) int64 {
+	c.asked = append(c.asked, "deadline")
+	return 1
+}
+
+func (c *changingCache) Holders(CacheScope, []Part) []holders.Holding { return nil }
+
+// Guards against a fetch from a KV-cache store that was found usable only before the request waited, for a connection or a permit, and against
+// a deadline that is younger than the decision which it limits: the process may stand still between both.
+func TestTransfersAreDecidedAtTheSend(t *testing.T) {
+	cache := &changingCache{source: "10.0.0.9:80", destination: "10.0.0.9:80"}
+	rq, _ := engineRequest(0, time.Second)
+	rq.gateway.opts.Cache, rq.view = cache, &view{catalog: catalog.New(1, catalog.Limits{}, nil, nil, nil, nil)}
+	rq.call.Model, rq.call.Parts = "m", []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 100}}
+	chosen := rq.service.targets["t"]
+	chosen.learnVersions(map[string]int{"m": 1})
+	rq.prefix = rq.lookupPrefix(time.Now())
+	cache.source, cache.destination, cache.asked = "", "", nil // the store is out of reach
+	params := rq.forwardParams(chosen, 1, time.Now())
+	if params.FetchFrom[0] != "" || params.SaveTo[0] != "" {
+		t.Errorf("fetch from %q and save to %q, by what was known before the wait", params.FetchFrom[0], params.SaveTo[0])
+	}
+	if len(cache.asked) != 2 || cache.asked[0] != "deadline" || cache.asked[1] != "sources" {
+		t.Errorf("asked for %v, want the deadline before the sources", cache.asked)
+	}
+}
--- a/internal/gateway/prefix.go
+++ b/internal/gateway/prefix.go
@@ -48,6 +48,7 @@
 type versionedLookup struct {
 	version      int
 	scope        CacheScope
+	draw         float64  // random number by which fetches from throttled stores are allowed
 	fetchSources []string // address of the store to fetch each part from, empty for none; nil if not looked up
 	complete     bool     // stores hold all shared parts
 	holder       *target  // the target that holds most of the parts in memory; nil if none does
@@ -91,9 +92,9 @@
 	if len(p.versions) == maxVersionsPerRequest {
 		return &versionedLookup{version: version, scope: rq.cacheScope(version)}
 	}
-	lookup := versionedLookup{version: version, scope: rq.cacheScope(version)}
+	lookup := versionedLookup{version: version, scope: rq.cacheScope(version), draw: rq.rng.Float64()}
 	if cache := rq.gateway.opts.Cache; cache != nil && version > 0 {
-		lookup.fetchSources = cache.FetchSources(lookup.scope, p.sharedParts, rq.rng.Float64(), now)
+		lookup.fetchSources = cache.FetchSources(lookup.scope, p.sharedParts, lookup.draw, now)
 		lookup.complete = lookup.fetchSources[len(lookup.fetchSources)-1] != ""
 		for _, h := range cache.Holders(lookup.scope, p.sharedParts) {
 			t := rq.service.targets[h.Target]
@@ -171,8 +172,9 @@
 	return max(promptTokens-cached, 0)
 }
 
-// planTransfers sets from where the target fetches cached parts and to which stores it saves them.
-func (rq *request) planTransfers(params *ForwardParams, t *target, now time.Time) {
+// planTransfers sets from where the target fetches cached parts and to which stores it saves them, in a scope. now must be the time of the
+// send: the lookup by which the target was chosen may be as old as the request has waited since.
+func (rq *request) planTransfers(params *ForwardParams, t *target, scope CacheScope, now time.Time) {
 	p := rq.prefix
 	if len(p.sharedParts) == 0 {
 		return
@@ -183,6 +185,10 @@
 	if timeout := rq.fetchTimeout(t, now); cache != nil && timeout > 0 {
 		params.FetchDeadlineMs = cache.FetchDeadline(timeout)
 	}
+	if cache != nil && params.WeightVersion > 0 {
+		// After the deadline was computed: if the process stands still before the send, the target discards the fetch.
+		lookup.refresh(cache, scope, p.sharedParts, time.Now())
+	}
 	if params.FetchDeadlineMs > 0 {
 		copy(params.FetchFrom, lookup.fetchSources) // without a deadline, a fetch could still run when its parts are freed
 	}
@@ -195,7 +201,7 @@
 	}
 	if cache != nil && params.WeightVersion > 0 {
 		params.SaveTo = make([]string, len(rq.call.Parts))
-		copy(params.SaveTo, cache.SaveDestinations(lookup.scope, p.sharedParts, now))
+		copy(params.SaveTo, cache.SaveDestinations(scope, p.sharedParts, time.Now()))
 	}
 	rq.cacheSource = p.describeSource(params, t, lookup)
 	rq.fetchedFrom = ""
@@ -204,6 +210,16 @@
 	}
 }
 
+// refresh looks up again from where parts are fetched in a scope. The targets that hold the parts in memory are forgotten if the scope is
+// another one than before.
+func (l *versionedLookup) refresh(cache PromptCache, scope CacheScope, parts []Part, now time.Time) {
+	if l.scope != scope {
+		l.scope, l.holder, l.holderTokens = scope, nil, 0
+	}
+	l.fetchSources = cache.FetchSources(scope, parts, l.draw, now)
+	l.complete = l.fetchSources[len(l.fetchSources)-1] != ""
+}
+
 // recordFirstToken records the time to the first token. If the request fetched from a store, the delay against the prediction is
 // a sample for the throttle of the store; otherwise the time is a sample for the prefill rate.
 func (rq *request) recordFirstToken(t *target, backlog int, took time.Duration) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -190,10 +190,15 @@
 
 // freshView returns the newest view. It waits first if the metadata is too old.
 func (s *State) freshView(ctx context.Context) *view {
+	s.waitFresh(ctx)
+	return s.current.Load()
+}
+
+// waitFresh waits if the metadata is too old to send requests by it, until it is fresh enough or can't become so in time.
+func (s *State) waitFresh(ctx context.Context) {
 	if s.opts.WaitFresh != nil {
 		s.opts.WaitFresh(ctx)
 	}
-	return s.current.Load()
 }
 
 // isUsable reports whether a target may get a new request of a service, as of the time of the view.
