--- a/cmd/egret-gateway/run.go
+++ b/cmd/egret-gateway/run.go
@@ -212,6 +212,7 @@
 	p.group.add((&gateway.SharedScopeRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add((&gateway.QuarantineRecorder{State: p.state, Store: p.store}).Run)
 	p.group.add((&gateway.SoftwareRecorder{State: p.state}).Run)
+	p.group.add((&gateway.ClockReader{State: p.state, Engines: p.engines}).Run)
 	p.group.add(p.cacheTracker.Run)
 	p.gossip = gateway.NewGossip(gateway.GossipOptions{State: p.state, Cache: p.cacheTracker, Self: self})
 	p.group.add(p.gossip.Run)
--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -43,8 +43,7 @@
 	// with fresh metadata has stopped fetching them, so an instance with older metadata must not fetch at all.
 	isFresh func() bool
 
-	targetClock targetClock
-	throttles   sync.Map // *storepace.Throttle by hash of the store's address
+	throttles sync.Map // *storepace.Throttle by hash of the store's address
 
 	mu            sync.Mutex
 	storeReaders  map[string]context.CancelFunc // by store name and address
@@ -183,8 +182,8 @@
 	if err != nil {
 		return 0, false, e.Notice, err
 	}
-	c.targetClock.sync(e.Clock)
 	now := c.now()
+	c.state.targetClock.observe(e.Clock, begun, now)
 	asOf := answeredAt(begun, now, wait, len(e.Events) > 0)
 	if e.Gap || !c.directory.ApplyChanges(s.Name, e.Epoch, changes(e.Events), asOf) {
 		c.directory.Invalidate(s.Name)
@@ -257,8 +256,9 @@
 			_ = sleep.For(ctx, limitedRecheckPeriod) // the loop checks ctx
 			continue
 		}
-		plan := c.pollPlan(readers)
+		plan, begun := c.pollPlan(readers), c.now()
 		e, err := c.engines.StoreEvents(ctx, t.address, next, plan.wait)
+		c.state.targetClock.observe(e.Clock, begun, c.now())
 		e.Speed = 0 // may be that of the begin of the long poll
 		c.state.observeNotice(t, e.Notice, e.Born, time.Now())
 		if err != nil {
@@ -368,7 +368,9 @@
 }
 
 // FetchDeadline implements PromptCache.
-func (c *CacheTracker) FetchDeadline(d time.Duration) int64 { return c.targetClock.after(d) }
+func (c *CacheTracker) FetchDeadline(d time.Duration) int64 {
+	return c.state.targetClock.earliest(c.now().Add(d))
+}
 
 // RecordFetch implements PromptCache.
 func (c *CacheTracker) RecordFetch(store string, delay, tolerance time.Duration, now time.Time) {
--- a/internal/gateway/naming.go
+++ b/internal/gateway/naming.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/egrethoist/egrethoist/internal/metastore"
-	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/sleep"
 )
 
@@ -23,8 +22,8 @@
 const versionCheckPeriod = 4 * time.Second
 
 // VersionRecorder records in the metadata store when each weight version was first seen, so that instances that start later compute
-// the same expiry of older versions. The rollout leader also records until when there were no others, for versions that are released
-// while no instance runs.
+// the same expiry of older versions: by the targets' clock, since the wall clocks of instances may differ by seconds. The rollout leader also
+// records until when there were no others, for versions that are released while no instance runs.
 type VersionRecorder struct {
 	State *State
 	Store metastore.Store
@@ -40,9 +39,9 @@
 		if time.Since(checkedAt) >= versionCheckPeriod && r.recordCheck(ctx) {
 			checkedAt = time.Now()
 		}
-		for _, observed := range r.State.unrecordedVersions() {
-			if err := r.record(ctx, observed); err != nil && !errors.Is(err, metastore.ErrConflict) {
-				klog.InfoS("weight version not recorded", "model", observed.Model, "version", observed.Version, "err", err.Error())
+		for _, due := range r.State.dueVersionRecords() {
+			if err := r.record(ctx, due); err != nil && !errors.Is(err, metastore.ErrConflict) {
+				klog.InfoS("weight version not recorded", "model", due.Model, "version", due.Version, "err", err.Error())
 			}
 		}
 	}
@@ -50,21 +49,22 @@
 }
 
 // record writes the record of a weight version, unless another instance has done so: then it returns metastore.ErrConflict.
-func (r *VersionRecorder) record(ctx context.Context, observed roster.ObservedVersion) error {
-	raw, err := json.Marshal(observed)
+func (r *VersionRecorder) record(ctx context.Context, due versionRecord) error {
+	raw, err := json.Marshal(due.ObservedVersion)
 	if err != nil {
 		return err
 	}
-	key := versionKey(observed.Model, observed.Version)
+	key := versionKey(due.Model, due.Version)
 	_, err = r.Store.Commit(ctx, metastore.Txn{
-		If: []metastore.Condition{{Key: key}}, Puts: []metastore.Put{{Key: key, Value: raw}},
+		If: []metastore.Condition{{Key: key, Revision: due.revision}}, Puts: []metastore.Put{{Key: key, Value: raw}},
 	})
 	return err
 }
 
 // versionCheck is the value of versionCheckKey.
 type versionCheck struct {
-	AtMillis int64 `json:"at"` // Unix milliseconds
+	AtMillis    int64 `json:"at"`              // Unix milliseconds by the wall clock of the rollout leader
+	ClockMillis int64 `json:"clock,omitempty"` // the same time on the targets' clock; zero if the leader did not know that
 }
 
 // recordCheck records that all versions released so far are recorded, if this instance is the rollout leader and they are. It reports
@@ -75,11 +75,12 @@
 		return false
 	}
 	at := time.Now() // read first: versions that are released from now on are not covered
-	at = at.Add(-max(r.State.metadataAge(), 0))
-	if len(r.State.unrecordedVersions()) > 0 {
+	boot := r.State.bootTime(at)
+	age := max(r.State.metadataAge(), 0)
+	if !r.State.versionAgesKnown() {
 		return false
 	}
-	raw, err := json.Marshal(versionCheck{AtMillis: at.UnixMilli()})
+	raw, err := json.Marshal(versionCheck{AtMillis: at.Add(-age).UnixMilli(), ClockMillis: r.State.targetClock.earliest(boot.Add(-age))})
 	if err == nil {
 		r.check.Store, r.check.Key = r.Store, versionCheckKey
 		err = r.check.Put(ctx, raw, 0, metastore.Condition{Key: RolloutLockKey, Revision: token})
--- a/internal/gateway/observation_test.go
+++ b/internal/gateway/observation_test.go
@@ -58,7 +58,7 @@
 // recordOf returns the record that an instance writes of a version that it has seen.
 func recordOf(t *testing.T, o *observer, version int) map[string]metastore.Item {
 	t.Helper()
-	for _, seen := range o.unrecordedVersions() {
+	for _, seen := range o.dueVersionRecords() {
 		if seen.Version == version {
 			raw, err := json.Marshal(seen)
 			if err != nil {
@@ -118,7 +118,7 @@
 		seenAt := time.Now()
 		o.read(nil)
 		o.suspended = 7 * time.Second
-		for _, seen := range o.unrecordedVersions() {
+		for _, seen := range o.dueVersionRecords() {
 			if seen.Version == 2 && seen.FirstSeenMillis != seenAt.UnixMilli() {
 				t.Errorf("recorded as seen %d ms after its sighting, want 0", seen.FirstSeenMillis-seenAt.UnixMilli())
 			}
@@ -145,7 +145,7 @@
 		time.Sleep(200 * time.Millisecond)
 		o.newest.Store(2)
 		o.read(items)
-		for _, seen := range o.unrecordedVersions() {
+		for _, seen := range o.dueVersionRecords() {
 			if early := calledAt.UnixMilli() - seen.FirstSeenMillis; seen.Version == 2 && early > 0 {
 				t.Errorf("recorded as released %d ms before a reading that did not have it", early)
 			}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -112,7 +112,7 @@
 				inbox.put(id, reportResult{denied: true})
 				return
 			}
-			report, err := c.opts.Engines.Report(ctx, t.address)
+			report, err := c.opts.State.readReport(ctx, c.opts.Engines, t)
 			c.opts.State.observeNotice(t, report.Notice, report.Born, time.Now())
 			inbox.put(id, reportResult{report: report, err: err})
 		}()
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -141,6 +141,7 @@
 	OrderRunning   bool           // the target is executing an order
 	Sequence       uint64         // number of orders accepted
 	Running        int            // requests at the target, including queued ones
+	Clock          int64          // Unix milliseconds on the target's clock; zero if unknown
 }
 
 // LoadOrder orders a target to load a weight version.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -119,6 +118,7 @@
 	rollouts       *rolloutService                       // nil: operators order none
 	grantorList    atomic.Pointer[[]targetlimit.Grantor] // instances that may issue grants, nil before the first OnChange
 	hearing        hearing
+	targetClock    targetClock
 
 	mu               sync.Mutex // guards the rest
 	snapshot         *roster.Snapshot
@@ -140,8 +140,11 @@
 	loaded           []loadedVersion              // versions that targets have loaded, ahead of their own records
 	retired          map[string]retirement.Shares // retired cached parts by model
 	observation      observation
-	releasedAt       map[string]time.Time // wall time of the release of each weight version as first seen, by its key
-	recordedVersions map[string]bool      // keys of weight versions whose first sighting is recorded in the store
+	releasedAt       map[string]time.Time     // wall time of the release of each weight version as first seen, by its key
+	witnessed        map[string]bool          // keys of weight versions whose release this instance has seen as it happened
+	versionRecords   map[string]versionRecord // records of first sightings of weight versions in the store, by key
+	startCheck       versionCheck             // as this instance read it when it started; zero if there was none
+	clockApplied     bool                     // the ages of weight versions follow the targets' clock
 	software         softwareState
 	shared           sharedScopeState
 	rolloutLocked    bool // an instance holds the rollout lock
@@ -153,10 +156,11 @@
 func NewState(o StateOptions) *State {
 	s := &State{
 		opts: o, notices: newNotices(o.Metrics), limits: newLimitRegistry(), weightsMetrics: newWeightsMetrics(o.Metrics), roster: roster.New(o.Roster), versionHistory: roster.NewWeightVersions(o.RolloutTimeout - weightsMargin), targets: map[string]*target{}, budgets: map[string]*retry.Budget{},
-		loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, forecasts: map[string]*forecast.Service{}, grantStats: map[string]*targetlimit.GrantStats{}, grantQueues: map[string]*targetlimit.Queue{}, recordedVersions: map[string]bool{}, releasedAt: map[string]time.Time{},
+		loading: map[string]bool{}, prefills: map[string]*prefilltime.Estimator{}, forecasts: map[string]*forecast.Service{}, grantStats: map[string]*targetlimit.GrantStats{}, grantQueues: map[string]*targetlimit.Queue{}, versionRecords: map[string]versionRecord{}, releasedAt: map[string]time.Time{}, witnessed: map[string]bool{},
 		software: newSoftwareState(), members: newMemberState(), instanceList: instancelist.New(o.Self, Instance{Domain: o.Domain}, instanceSettleTime),
 	}
 	s.instances = map[string]Instance{o.Self: {Domain: o.Domain}}
+	s.targetClock.started = s.bootTime(time.Now())
 	s.grantService = newGrantService(s, o.Metrics)
 	s.quarantine = newQuarantineService(s, o.Metrics)
 	s.streams, s.shares = newStreamService(s, o.Store, o.Metrics), newShareService(o.WorkspaceShares, o.Metrics)
@@ -219,6 +223,7 @@
 	s.metadataRevision = revision
 	s.snapshot = s.opts.Records.Update(items)
 	s.readSystemKeys(items, now)
+	s.updateVersionAges(now)
 	s.rebuild(now)
 }
 
@@ -228,7 +233,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.observation.tick(s.bootTime(now))
-	if s.snapshot != nil && s.timeDependent {
+	if s.snapshot != nil && (s.updateVersionAges(now) || s.timeDependent) {
 		s.rebuild(now)
 	}
 	for _, t := range s.targets {
@@ -282,7 +287,7 @@
 		}
 	}
 	// Records that a restored store has lost are written again.
-	maps.DeleteFunc(s.recordedVersions, func(key string, _ bool) bool { _, present := items[key]; return !present })
+	maps.DeleteFunc(s.versionRecords, func(key string, _ versionRecord) bool { _, present := items[key]; return !present })
 	_, s.registered = live[s.opts.Self]
 	registered := len(live)
 	known := s.members.update(members, live, s.hearing.recent(now), s.instanceList.Settled(now), now)
@@ -308,33 +313,6 @@
 	s.software.restore(policies, held, metastore.EraOf(s.metadataRevision), now)
 }
 
-// readVersionRecord reads the record of when any instance first saw a weight version.
-func (s *State) readVersionRecord(key string, item metastore.Item, now time.Time) {
-	if s.recordedVersions[key] {
-		return
-	}
-	s.recordedVersions[key] = true
-	var observed roster.ObservedVersion
-	if err := json.Unmarshal(item.Value, &observed); err != nil {
-		klog.ErrorS(err, "invalid record of a weight version ignored", "key", key)
-		return
-	}
-	s.observeVersion(observed.Model, observed.Version, observed.Age(now), true, now)
-}
-
-// unrecordedVersions returns the known weight versions whose first sighting no instance has recorded yet.
-func (s *State) unrecordedVersions() []roster.ObservedVersion {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := slices.DeleteFunc(s.versionHistory.All(), func(observed roster.ObservedVersion) bool {
-		return s.recordedVersions[versionKey(observed.Model, observed.Version)]
-	})
-	for i := range all {
-		all[i].FirstSeenMillis = s.releasedAt[versionKey(all[i].Model, all[i].Version)].UnixMilli()
-	}
-	return all
-}
-
 // RolloutLockFree reports whether no instance holds the rollout lock. It returns false while no configuration is known.
 func (s *State) RolloutLockFree() bool {
 	s.mu.Lock()
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -55,6 +55,7 @@
 	resumedAt   time.Time // start of the process, or end of its last standstill
 	// missedSince is the time from which changes may have gone unseen until resumedAt, zero if none can have.
 	missedSince time.Time
+	estimated   bool                 // missedSince was computed by the wall clocks of two processes
 	floors      map[string]time.Time // confirmedAt when each version was first seen, by its key
 }
 
@@ -80,29 +81,37 @@
 		o.confirmedAt = at
 	}
 	if !at.Before(o.resumedAt) {
-		o.missedSince = time.Time{}
+		o.missedSince, o.estimated = time.Time{}, false
 	}
 }
 
-// age returns how long ago an event that is seen now for the first time may have been.
-func (o *observation) age(now time.Time) time.Duration {
+// age returns how long ago an event that is seen now for the first time may have been, and how well that is known.
+func (o *observation) age(now time.Time) (time.Duration, roster.Evidence) {
 	if o.missedSince.IsZero() || now.Sub(o.resumedAt) > maxResumeTime {
-		return 0
+		return 0, roster.Measured
+	}
+	evidence := roster.Bounded
+	if o.estimated {
+		evidence = roster.Estimated
+	}
+	return o.limit("", now.Sub(o.missedSince), now), evidence
+}
+
+// floor returns the last time at which this instance knew that a version, given by its key, was not released, zero if it never did.
+func (o *observation) floor(key string) time.Time {
+	if floor, seen := o.floors[key]; seen {
+		return floor
 	}
-	return o.limit("", now.Sub(o.missedSince), now)
+	return o.confirmedAt
 }
 
 // limit returns the age of a version, given by its key, that another instance has recorded, but no more than the time since this instance
 // knew that the version was not released.
 func (o *observation) limit(key string, age time.Duration, now time.Time) time.Duration {
-	floor, seen := o.floors[key]
-	if !seen {
-		floor = o.confirmedAt
-	}
-	if floor.IsZero() {
-		return age
+	if floor := o.floor(key); !floor.IsZero() {
+		return min(age, now.Sub(floor))
 	}
-	return min(age, now.Sub(floor))
+	return age
 }
 
 // see records that a version, given by its key, has been seen.
@@ -133,6 +142,80 @@
 	}
 }
 
+// versionRecord is the record of a weight version in the metadata store.
+type versionRecord struct {
+	roster.ObservedVersion
+	revision uint64
+}
+
+// maxRecordError is by how much a record may understate the age of a version before an instance that has seen the release corrects it.
+const maxRecordError = 500 * time.Millisecond
+
+// dueVersionRecords returns the records of weight versions that are to be written: those that are missing, do not state the targets' clock
+// although this instance knows it, or understate the age of a version since that clock was set back.
+func (s *State) dueVersionRecords() []versionRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []versionRecord
+	for _, seen := range s.versionHistory.All() {
+		key := versionKey(seen.Model, seen.Version)
+		record, recorded := s.versionRecords[key]
+		clock := s.targetClock.earliest(seen.FirstSeen)
+		missing := !recorded || clock > 0 && record.ClockMillis == 0
+		understated := s.witnessed[key] && clock > 0 && record.ClockMillis-clock > maxRecordError.Milliseconds()
+		if seen.Evidence == roster.Estimated || !missing && !understated {
+			continue
+		}
+		due = append(due, versionRecord{
+			ObservedVersion: roster.ObservedVersion{Model: seen.Model, Version: seen.Version, FirstSeenMillis: s.releasedAt[key].UnixMilli(), ClockMillis: clock},
+			revision:        record.revision,
+		})
+	}
+	return due
+}
+
+// versionAgesKnown reports whether the ages of all weight versions are known and recorded.
+func (s *State) versionAgesKnown() bool {
+	if len(s.dueVersionRecords()) > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.versionHistory.All(), func(seen roster.Sighting) bool { return seen.Evidence == roster.Estimated })
+}
+
+// readVersionRecord reads the record of when any instance first saw a weight version. s.mu must be held.
+func (s *State) readVersionRecord(key string, item metastore.Item, now time.Time) {
+	if known, ok := s.versionRecords[key]; ok && known.revision == item.Revision {
+		return
+	}
+	record := versionRecord{revision: item.Revision}
+	if err := json.Unmarshal(item.Value, &record.ObservedVersion); err != nil {
+		klog.ErrorS(err, "invalid record of a weight version ignored", "key", key)
+		record.ObservedVersion = roster.ObservedVersion{}
+	}
+	s.versionRecords[key] = record
+	s.observeRecord(key, record, now)
+}
+
+// observeRecord takes in the record of a weight version, given by its key. The wall clocks of two instances may differ by seconds, so an age that
+// follows from them is an estimate, unless this instance knows when the version was not released yet. s.mu must be held.
+func (s *State) observeRecord(key string, record versionRecord, now time.Time) {
+	if record.Model == "" {
+		return // the record is invalid
+	}
+	boot := s.bootTime(now)
+	age, evidence := record.Age(now), roster.Estimated
+	if byClock, ok := s.targetClock.age(record.ClockMillis, boot); ok {
+		age, evidence = byClock, roster.Measured
+	} else if !s.observation.floor(key).IsZero() {
+		var least time.Duration
+		least, evidence = s.observation.age(boot)
+		age = max(s.observation.limit(key, age, boot), least)
+	}
+	s.observeVersion(record.Model, record.Version, age, evidence, true, now)
+}
+
 // readVersionCheck reads, at the start of the process, until when all released versions were recorded. s.mu must be held.
 func (s *State) readVersionCheck(item metastore.Item, now time.Time) {
 	if !s.observation.starting {
@@ -143,30 +226,79 @@
 		klog.ErrorS(err, "invalid check of the weight versions ignored", "revision", item.Revision)
 		return
 	}
-	age := max(time.Duration(now.UnixMilli()-check.AtMillis)*time.Millisecond, 0)
-	s.observation.resume(s.bootTime(now).Add(-age), s.bootTime(now))
+	s.startCheck = check
+	boot := s.bootTime(now)
+	age, known := s.targetClock.age(check.ClockMillis, boot)
+	if !known {
+		age = max(time.Duration(now.UnixMilli()-check.AtMillis)*time.Millisecond, 0)
+	}
+	s.observation.resume(boot.Add(-age), boot)
+	s.observation.estimated = !known
+}
+
+// updateVersionAges replaces estimated ages of weight versions by those that follow from the targets' clock once that is known. If it stays
+// unknown, targets with older weights get no work until they are certain to be allowed it. It reports whether an age has changed. s.mu must be held.
+func (s *State) updateVersionAges(now time.Time) (changed bool) {
+	boot := s.bootTime(now)
+	if !s.clockApplied && s.targetClock.known() {
+		s.clockApplied, changed = true, true
+		for key, record := range s.versionRecords {
+			s.observeRecord(key, record, now)
+		}
+	}
+	running := boot.Sub(s.targetClock.started)
+	for _, seen := range s.versionHistory.All() {
+		if seen.Evidence != roster.Estimated {
+			continue
+		}
+		// The check covers the versions that were recorded with the targets' clock: all others were released after it.
+		if age, ok := s.targetClock.age(s.startCheck.ClockMillis, boot); ok {
+			changed = s.observeVersion(seen.Model, seen.Version, age, roster.Bounded, false, now) || changed
+		} else if age := s.opts.RolloutTimeout; running >= age {
+			changed = s.observeVersion(seen.Model, seen.Version, running, roster.Bounded, false, now) || changed
+		} else if running >= maxResumeTime && boot.Sub(seen.FirstSeen) < age {
+			changed = s.observeVersion(seen.Model, seen.Version, age, roster.Estimated, false, now) || changed
+		}
+	}
+	return changed
 }
 
 // observeVersion records that a weight version was released age ago, or later if this instance knows that. recorded is set if another instance
-// has recorded so in the metadata store. s.mu must be held.
-func (s *State) observeVersion(model string, version int, age time.Duration, recorded bool, now time.Time) {
-	key := versionKey(model, version)
-	age = s.observation.limit(key, age, s.bootTime(now))
+// has recorded so in the metadata store. It reports whether the age has changed. s.mu must be held.
+func (s *State) observeVersion(model string, version int, age time.Duration, evidence roster.Evidence, recorded bool, now time.Time) bool {
+	key, boot := versionKey(model, version), s.bootTime(now)
+	age = s.observation.limit(key, age, boot)
 	s.observation.see(key)
-	if s.versionHistory.Observe(model, version, age, s.bootTime(now)) {
-		s.releasedAt[key] = now.Add(-age)
-		klog.InfoS("weight version released", "model", model, "version", version, "age_ms", age.Milliseconds(), "recorded", recorded, "metadata", s.metadataRevision)
+	known := s.versionHistory.Known(model, version)
+	if !s.versionHistory.Observe(model, version, age, evidence, boot) {
+		return false
 	}
+	message := "weight version released"
+	if known {
+		message = "age of a weight version corrected"
+	}
+	before := s.releasedAt[key]
+	s.releasedAt[key] = now.Add(-age)
+	if !known || s.releasedAt[key].Sub(before).Abs() >= loggedCorrection {
+		klog.InfoS(message, "model", model, "version", version, "age_ms", age.Milliseconds(), "evidence", evidence.String(), "recorded", recorded, "metadata", s.metadataRevision)
+	}
+	return true
 }
 
+// loggedCorrection is the smallest correction of the age of a weight version that is logged.
+const loggedCorrection = 100 * time.Millisecond
+
 // observeNewestVersion records that a weight version is the newest one now. If it has not been recorded, it counts as released when
 // this instance last saw that there was none. s.mu must be held.
 func (s *State) observeNewestVersion(model string, version int, now time.Time) {
-	age := time.Duration(0)
-	if !s.versionHistory.Known(model, version) {
-		age = s.observation.age(s.bootTime(now))
+	if s.versionHistory.Known(model, version) {
+		return
+	}
+	age, evidence := s.observation.age(s.bootTime(now))
+	if age == 0 && evidence == roster.Measured && !s.observation.starting {
+		s.witnessed[versionKey(model, version)] = true
 	}
-	s.observeVersion(model, version, age, false, now)
+	s.observeVersion(model, version, age, evidence, false, now)
 }
 
 // reportWeights updates the gauges of targets on old weights, and logs targets whose weights have just expired. s.mu must be held.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -143,8 +143,8 @@
 
 func TestMinVersion(t *testing.T) {
 	w := NewWeightVersions(10 * time.Second)
-	w.Observe("m", 2, 0, epoch)
-	w.Observe("m", 3, 0, epoch.Add(4*time.Second))
+	w.Observe("m", 2, 0, Measured, epoch)
+	w.Observe("m", 3, 0, Measured, epoch.Add(4*time.Second))
 	for _, c := range []struct {
 		after time.Duration
 		want  int
@@ -165,18 +165,53 @@
 // which other instances first saw the version.
 func TestRolloutTimeoutSurvivesRestart(t *testing.T) {
 	first := NewWeightVersions(10 * time.Second)
-	first.Observe("m", 2, 0, epoch)
+	first.Observe("m", 2, 0, Measured, epoch)
 	restarted := epoch.Add(8 * time.Second)
 	second := NewWeightVersions(10 * time.Second)
-	second.Observe("m", 2, 0, restarted)
+	second.Observe("m", 2, 0, Measured, restarted)
 	for _, n := range first.All() {
-		second.Observe(n.Model, n.Version, n.Age(restarted), restarted)
+		second.Observe(n.Model, n.Version, restarted.Sub(n.FirstSeen), n.Evidence, restarted)
 	}
 	if got := second.MinVersion("m", epoch.Add(10*time.Second)); got != 2 {
 		t.Errorf("minimum version %d at the end of the rollout timeout, want 2", got)
 	}
 }
 
+// Guards against an age that was estimated, or only bounded, and stays in force although the right one is known, and against the reverse.
+func TestAgeByBetterEvidenceCounts(t *testing.T) {
+	const age = 5 * time.Second
+	for _, c := range []struct {
+		first, second       Evidence
+		firstAge, secondAge time.Duration
+		want                time.Duration
+	}{
+		{Estimated, Measured, 2 * age, age, age},
+		{Estimated, Measured, 0, age, age},
+		{Measured, Estimated, age, 2 * age, age},
+		{Bounded, Measured, 2 * age, age, age},
+		{Bounded, Estimated, age, 2 * age, age},
+		{Measured, Measured, age, age / 2, age},
+		{Measured, Measured, age / 2, age, age},
+	} {
+		w := NewWeightVersions(10 * time.Second)
+		w.Observe("m", 2, c.firstAge, c.first, epoch)
+		w.Observe("m", 2, c.secondAge, c.second, epoch)
+		if got := epoch.Add(10 * time.Second).Sub(w.Expiry("m", 1)); got != c.want {
+			t.Errorf("%v %v, then %v %v: age %v, want %v", c.first, c.firstAge, c.second, c.secondAge, got, c.want)
+		}
+	}
+}
+
+// Guards against old weights that are used for too long because a version between them and the newest one was seen later than that.
+func TestExpiryFollowsTheFirstOfAllNewerVersions(t *testing.T) {
+	w := NewWeightVersions(10 * time.Second)
+	w.Observe("m", 2, 0, Measured, epoch)
+	w.Observe("m", 3, 4*time.Second, Measured, epoch)
+	if got := w.Expiry("m", 1); !got.Equal(epoch.Add(6 * time.Second)) {
+		t.Errorf("version 1 expires %v after version 2 was seen, want 6s", got.Sub(epoch))
+	}
+}
+
 // Guards against a restarted instance that treats a warm fleet as cold, and so refuses most requests.
 func TestLongRunningTargetIsWarmForANewInstance(t *testing.T) {
 	r := New(Options{})
--- a/internal/roster/weights.go
+++ b/internal/roster/weights.go
@@ -16,25 +16,47 @@
 type observedVersion struct {
 	version   int
 	firstSeen time.Time
+	evidence  Evidence
 }
 
+// Evidence says how well the age of a weight version is known. The age by better evidence replaces another one.
+type Evidence uint8
+
+const (
+	// Estimated ages come from the wall clocks of two processes and may be too small.
+	Estimated Evidence = iota
+	// Bounded ages are not too small.
+	Bounded
+	// Measured ages are right: by the monotonic clock of the instance that saw the release, or by a clock that all instances share.
+	Measured
+)
+
+var evidenceNames = [...]string{"estimated", "bounded", "measured"}
+
+func (e Evidence) String() string { return evidenceNames[e] }
+
 // NewWeightVersions returns an empty record. rolloutTimeout is the time from the first sighting of a version to its exclusive
 // use.
 func NewWeightVersions(rolloutTimeout time.Duration) *WeightVersions {
 	return &WeightVersions{rolloutTimeout: rolloutTimeout, versions: map[string][]observedVersion{}}
 }
 
-// Observe records that a version of a model was first seen at least age ago. It reports whether the version was unknown.
-func (w *WeightVersions) Observe(model string, version int, age time.Duration, now time.Time) bool {
-	firstSeen := now.Add(-age)
+// Observe records that a version of a model was first seen age ago. Of two ages by equal evidence the larger one counts. It reports whether
+// the recorded age has changed, or the version was unknown.
+func (w *WeightVersions) Observe(model string, version int, age time.Duration, evidence Evidence, now time.Time) bool {
+	seen := observedVersion{version: version, firstSeen: now.Add(-age), evidence: evidence}
 	list := w.versions[model]
 	for i := range list {
-		if list[i].version == version {
-			list[i].firstSeen = minTime(list[i].firstSeen, firstSeen)
+		if list[i].version != version {
+			continue
+		}
+		if evidence < list[i].evidence || evidence == list[i].evidence && !seen.firstSeen.Before(list[i].firstSeen) {
 			return false
 		}
+		list[i] = seen
+		return true
 	}
-	list = append(list, observedVersion{version: version, firstSeen: firstSeen})
+	list = append(list, seen)
 	slices.SortFunc(list, func(a, b observedVersion) int { return cmp.Compare(a.version, b.version) })
 	w.versions[model] = list
 	return true
@@ -45,21 +67,18 @@
 	return slices.ContainsFunc(w.versions[model], func(n observedVersion) bool { return n.version == version })
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Expiry returns when targets with a version of a model must stop accepting requests, zero if no newer version was seen.
 func (w *WeightVersions) Expiry(model string, version int) time.Time {
+	var first time.Time
 	for _, n := range w.versions[model] {
-		if n.version > version {
-			return n.firstSeen.Add(w.rolloutTimeout)
+		if n.version > version && (first.IsZero() || n.firstSeen.Before(first)) {
+			first = n.firstSeen
 		}
 	}
-	return time.Time{}
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(w.rolloutTimeout)
 }
 
 // Clone returns an independent copy.
@@ -75,7 +94,9 @@
 type ObservedVersion struct {
 	Model           string `json:"model"`
 	Version         int    `json:"version"`
-	FirstSeenMillis int64  `json:"at"` // Unix milliseconds
+	FirstSeenMillis int64  `json:"at"` // Unix milliseconds by the wall clock of the instance that recorded it
+	// ClockMillis is the same time in Unix milliseconds on the clock of the targets, zero if the instance did not know that clock.
+	ClockMillis int64 `json:"clock,omitempty"`
 }
 
 // Age returns the time since the version was first seen by the wall clock, never negative.
@@ -83,15 +104,23 @@
 	return max(time.Duration(now.UnixMilli()-n.FirstSeenMillis)*time.Millisecond, 0)
 }
 
-// All returns all versions seen, ordered by model and version.
-func (w *WeightVersions) All() []ObservedVersion {
-	var out []ObservedVersion
+// Sighting is the first sighting of a weight version.
+type Sighting struct {
+	Model     string
+	Version   int
+	FirstSeen time.Time // as WeightVersions counts time
+	Evidence  Evidence
+}
+
+// All returns the first sightings of all versions, ordered by model and version.
+func (w *WeightVersions) All() []Sighting {
+	var out []Sighting
 	for model, list := range w.versions {
 		for _, n := range list {
-			out = append(out, ObservedVersion{Model: model, Version: n.version, FirstSeenMillis: n.firstSeen.UnixMilli()})
+			out = append(out, Sighting{Model: model, Version: n.version, FirstSeen: n.firstSeen, Evidence: n.evidence})
 		}
 	}
-	slices.SortFunc(out, func(a, b ObservedVersion) int {
+	slices.SortFunc(out, func(a, b Sighting) int {
 		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
 	})
 	return out
