--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -330,7 +330,7 @@
 	freeBatchSize = 200
 	// FetchTimeout is the longest time from the sending of a request until its fetch has completed or is discarded.
 	FetchTimeout = directory.MaxFetchTime
-	// MaxMetadataAge is the age of the metadata up to which parts are fetched from and saved to stores.
+	// MaxMetadataAge is the age of the metadata from which no parts are fetched from or saved to stores, and workspaces share none.
 	MaxMetadataAge = 2 * time.Second
 )
 
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -101,6 +101,7 @@
 	PromptCache
 	source, destination string
 	asked               []string // names of the methods called, in order
+	scopes              []string // in which fetches and saves were asked for
 }
 
 func (c *changingCache) list(address string, parts []Part) []string {
@@ -111,12 +112,13 @@
 	return out
 }
 
-func (c *changingCache) FetchSources(_ CacheScope, parts []Part, _ float64, _ time.Time) []string {
-	c.asked = append(c.asked, "sources")
+func (c *changingCache) FetchSources(scope CacheScope, parts []Part, _ float64, _ time.Time) []string {
+	c.asked, c.scopes = append(c.asked, "sources"), append(c.scopes, scope.String())
 	return c.list(c.source, parts)
 }
 
-func (c *changingCache) SaveDestinations(_ CacheScope, parts []Part, _ time.Time) []string {
+func (c *changingCache) SaveDestinations(scope CacheScope, parts []Part, _ time.Time) []string {
+	c.scopes = append(c.scopes, scope.String())
 	return c.list(c.destination, parts)
 }
 
--- a/internal/gateway/scope.go
+++ b/internal/gateway/scope.go
@@ -42,10 +42,15 @@
 	return CacheScope{Model: model, Version: number, Workspace: workspace, Shared: shared}, err == nil
 }
 
-// cacheScope returns the scope in which the request's prompt parts are cached by targets on a weight version.
+// cacheScope returns the scope in which the request's prompt parts are cached by targets on a weight version, if it is sent now. No scope is
+// shared by old metadata: a workspace may have been isolated since.
 func (rq *request) cacheScope(version int) CacheScope {
 	s := CacheScope{Model: rq.call.Model, Version: version}
-	switch shared := rq.view.shared; {
+	shared := rq.view.shared
+	if shared != nil && !rq.gateway.opts.State.sharesCache() {
+		shared = nil
+	}
+	switch {
 	case rq.view.catalog.Workspaces == 0:
 	case rq.workspace == nil && shared != nil:
 		s.Shared = shared.name()
--- a/internal/gateway/scope_test.go
+++ b/internal/gateway/scope_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -25,20 +26,21 @@
 		lastID, era := 0, uint64(0)
 		newID := func() string { lastID++; return fmt.Sprint(lastID) }
 		history := []metadataSnapshot{{config: catalog.New(1, catalog.Limits{}, nil, nil, nil, nil)}}
-		use := func(known metadataSnapshot, judged bool) {
+		use := func(known metadataSnapshot, age time.Duration, judged bool, isolated map[string]bool) {
+			state := NewState(StateOptions{MetadataAge: func() (time.Duration, bool) { return age, age >= 0 }})
 			v := &view{catalog: known.config}
 			if known.record.usable(known.config) {
 				v.shared = known.record
 			}
 			for _, name := range names {
-				rq := &request{view: v, workspace: known.config.Workspace(name), call: Call{Model: "m"}}
+				rq := &request{gateway: &Gateway{opts: Options{State: state}}, view: v, workspace: known.config.Workspace(name), call: Call{Model: "m"}}
 				if rq.workspace == nil && (name != "" || known.config.Workspaces == 0) {
 					continue
 				}
 				scope := rq.cacheScope(1).String()
 				for writer := range writers[scope] {
-					if judged && writer != name && (known.isolated[writer] || known.isolated[name]) {
-						t.Fatalf("%q uses parts of %q in scope %s; isolated: %v", name, writer, scope, known.isolated)
+					if judged && writer != name && (isolated[writer] || isolated[name]) {
+						t.Fatalf("%q uses parts of %q in scope %s by metadata %v old; isolated: %v", name, writer, scope, age, isolated)
 					}
 				}
 				if writers[scope] == nil {
@@ -68,10 +70,12 @@
 					history = append(history, now)
 				}
 			case "use":
-				use(now, true)
+				use(now, 0, true, now.isolated)
 			case "use stale":
 				known := rapid.SampledFrom(history).Draw(t, "known")
-				use(known, known.config == now.config)
+				age := rapid.SampledFrom([]time.Duration{unknownAge, 0, MaxMetadataAge - 1, MaxMetadataAge, time.Hour}).Draw(t, "age")
+				// By younger metadata a configuration need not be in force yet.
+				use(known, age, known.config == now.config || age < 0 || age >= MaxMetadataAge, now.isolated)
 			case "restore":
 				era++
 				if older := rapid.SampledFrom(history).Draw(t, "copy").record; older != nil {
@@ -85,6 +89,37 @@
 	})
 }
 
+// Guards against workspaces that share no cached parts although the metadata is fresh, and against one decision for the lookup and another for the
+// headers of a request, between which the metadata has become too old.
+func TestSharedScopeFollowsAgeOfMetadata(t *testing.T) {
+	age := time.Duration(0)
+	cache := &changingCache{source: "10.0.0.9:80"}
+	rq, _ := engineRequest(0, time.Second)
+	rq.gateway.opts.State = NewState(StateOptions{MetadataAge: func() (time.Duration, bool) { return age, age >= 0 }})
+	rq.gateway.opts.Cache = cache
+	workspaces := []catalog.Workspace{{Name: "mill", Keys: []string{"k"}}, {Name: "buyer", Keys: []string{"l"}}}
+	config := catalog.New(1, catalog.Limits{}, nil, nil, nil, workspaces)
+	rq.view = &view{catalog: config, shared: &sharedScope{ID: "1", Members: []string{"buyer", "mill"}}}
+	rq.workspace = config.Workspace("k")
+	rq.call.Model, rq.call.Parts = "m", []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 100}}
+	target := rq.service.targets["t"]
+	target.learnVersions(map[string]int{"m": 1})
+	for _, c := range []struct {
+		age  time.Duration
+		want string
+	}{{0, "1+1//m"}, {MaxMetadataAge - 1, "1+1//m"}, {MaxMetadataAge, "1/mill/m"}, {unknownAge, "1/mill/m"}} {
+		age = 0
+		rq.prefix = rq.lookupPrefix(time.Now())
+		age, cache.scopes = c.age, nil
+		if got := rq.forwardParams(target, 1, time.Now()).CacheScope; got != c.want {
+			t.Errorf("metadata %v old: scope %s, want %s", c.age, got, c.want)
+		}
+		if len(cache.scopes) != 2 || cache.scopes[0] != c.want || cache.scopes[1] != c.want {
+			t.Errorf("metadata %v old: fetches and saves in %v, want %s", c.age, cache.scopes, c.want)
+		}
+	}
+}
+
 // Guards against shared parts that are read again after changes that isolate none of the workspaces that have shared them.
 func TestSharedScopeOutlastsOtherChanges(t *testing.T) {
 	config := func(workspaces ...catalog.Workspace) *catalog.Catalog {
--- a/internal/gateway/sharedscope.go
+++ b/internal/gateway/sharedscope.go
@@ -19,7 +19,8 @@
 
 // Workspaces that are not isolated share cached parts in one scope. A workspace must be in the record of the shared scope before its requests
 // use it, and once a recorded one is isolated, the scope is used no more and another one is begun. So no part in a scope that is in use was
-// cached by a workspace that is isolated, whatever configurations came before and whichever instances knew them.
+// cached by a workspace that is isolated, whatever configurations came before and whichever instances knew them. An instance whose metadata is
+// older than MaxMetadataAge uses no shared scope, since it can't know whether a workspace was isolated meanwhile.
 
 // sharedScope is the record of the shared scope. It is immutable.
 type sharedScope struct {
@@ -68,6 +69,23 @@
 	return &sharedScope{ID: s.ID, Members: slices.Sorted(maps.Keys(names))}
 }
 
+// sharesCache reports whether the metadata is fresh enough for workspaces to share cached parts.
+func (s *State) sharesCache() bool {
+	if s.opts.MetadataAge == nil {
+		return true
+	}
+	age := s.metadataAge()
+	return age >= 0 && age < MaxMetadataAge
+}
+
+// reportSharing logs when workspaces stop or begin again to share cached parts because of the age of the metadata. s.mu must be held.
+func (s *State) reportSharing() {
+	if shares := s.sharesCache(); shares == s.unshared {
+		s.unshared = !shares
+		klog.InfoS("sharing of cached parts between workspaces", "allowed", shares, "metadata_age_ms", s.metadataAge().Milliseconds(), "metadata", s.metadataRevision)
+	}
+}
+
 // sharedScopeState is what State keeps of the record. It is guarded by State.mu.
 type sharedScopeState struct {
 	revision uint64 // of the record, zero if there is none
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -147,6 +147,7 @@
 	clockApplied     bool                     // the ages of weight versions follow the targets' clock
 	software         softwareState
 	shared           sharedScopeState
+	unshared         bool // workspaces share no cached parts, since the metadata is too old
 	rolloutLocked    bool // an instance holds the rollout lock
 	timeDependent    bool // the view changes as time passes, without a change of the metadata
 	budgetInstances  int  // number of instances that budgets were computed for
@@ -242,6 +243,7 @@
 	}
 	s.reportNotices(now)
 	s.reportWeights(now)
+	s.reportSharing()
 }
 
 // readSystemKeys reads the keys that the instances themselves write: instance records, weight versions, the rollout state, the
