--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -119,7 +119,7 @@
 	if t.stats.Blocked(rq.lastResort, time.Now()) {
 		return errStaleChoice
 	}
-	if _, limited := t.limit.rate(time.Now()); limited && time.Since(rq.grantedAt) > grantTTL {
+	if _, limited := t.limit.rate(time.Now()); limited && rq.gateway.opts.State.bootTime(time.Now()).Sub(rq.grantedAt) > grantTTL {
 		return errStaleChoice
 	}
 	if v.catalog != rq.view.catalog || !v.isUsable(rq.service.Name, t) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 	attempts    []attempt
 	// lastResort is set if the last chosen target has announced that it leaves, and no other could serve.
 	lastResort  bool
-	grantedAt   time.Time     // when the last chosen target's grant was issued; zero if the target has no rate limit
+	grantedAt   time.Time     // boot time at which the last chosen target's grant was asked for; zero if the target has no rate limit
 	grantPlace  grantPlace    // place among the requests that wait for grants
 	failure     *failedAnswer // failed answer of the last target, while another one is tried
 	targetBegan atomic.Bool   // the target of the last attempt has sent a complete event
--- a/internal/gateway/grantwait.go
+++ b/internal/gateway/grantwait.go
@@ -42,7 +42,7 @@
 	if _, limited := t.limit.rate(now); !limited {
 		return true
 	}
-	rank := rq.grantRank()
+	rank, begun := rq.grantRank(), rq.gateway.opts.State.bootTime(now)
 	ok, wait := rq.gateway.opts.State.grantService.acquire(rq.ctx, t.limit, grantPurpose{rank: rank})
 	now = time.Now()
 	if !ok {
@@ -50,7 +50,7 @@
 		t.stats.Deny(rank, now.Add(wait))
 		return false
 	}
-	rq.grantedAt = now
+	rq.grantedAt = begun
 	rq.service.grantStats.RecordGrant(now)
 	rq.service.grantQueue.RecordGrant(now)
 	return true
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -177,13 +177,14 @@
 	s.roles[i] = state
 }
 
-// requestGrant asks another instance for a grant. It returns false if there is no reply within grantTimeout, or if the instance is
+// requestGrant asks another instance for a grant. It returns false if no reply is handled within grantTimeout, or if the instance is
 // in backoff or can't be reached.
 func (s *grantService) requestGrant(ctx context.Context, g *targetlimit.Grantor, i departure.Incarnation, observation targetlimit.Observation, purpose grantPurpose, now time.Time) (targetlimit.GrantReply, bool) {
 	address, err := net.ResolveUDPAddr("udp4", g.Address)
 	if err != nil {
 		return targetlimit.GrantReply{}, false // the instance's record has no valid address
 	}
+	begun := s.state.bootTime(time.Now())
 	replies := make(chan targetlimit.GrantReply, 1)
 	nonce := rand.Uint64()
 	s.mu.Lock()
@@ -209,7 +210,12 @@
 		s.mu.Lock()
 		delete(s.unresponsive, g.Name)
 		s.mu.Unlock()
-		return reply, true
+		// A reply that waited for this process, which stood still, says what held at another time.
+		took := s.state.bootTime(time.Now()).Sub(begun)
+		if took <= grantTimeout {
+			return reply, true
+		}
+		klog.InfoS("reply of an instance that grants requests came too late", "instance", g.Name, "age_ms", took.Milliseconds())
 	case <-ctx.Done():
 	case <-timer.C:
 		s.mu.Lock()
