--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -177,8 +177,8 @@
 //     at once.
 //   - PhaseOverdue: connections that are left are closed.
 //
-// It calls onPhase at each phase before it acts on it. It returns an error if connections were closed before they were answered, or if ctx
-// ended first. While another call drains the server, it waits for that.
+// It calls onPhase at each phase before it acts on it, except that answers close their connections already. It returns an error if connections
+// were closed before they were answered, or if ctx ended first. While another call drains the server, it waits for that.
 func (s *Server) Drain(ctx context.Context, opts drain.Options, onPhase func(drain.Phase)) error {
 	if !s.draining.CompareAndSwap(false, true) {
 		select {
@@ -193,11 +193,12 @@
 	s.closeLimit.Store(&limit)
 	overdue := 0
 	err := inflight.Drain(ctx, opts, s.work, func(phase drain.Phase) {
+		if phase == drain.PhaseUnready {
+			s.stopping.Store(true) // before callers can be told of the stop
+		}
 		onPhase(phase)
 		klog.InfoS("planned stop", "server", s.opts.Name, "phase", phase.String(), "connections", s.Connections())
 		switch phase {
-		case drain.PhaseUnready:
-			s.stopping.Store(true)
 		case drain.PhaseRefusing:
 			s.stopping.Store(true)
 			s.refusing.Store(true)
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/egrethoist/egrethoist/internal/drain"
 )
 
 // gate holds back goroutines, as a process does that is short of processor time.
@@ -396,6 +398,38 @@
 	}
 }
 
+// Guards against an answer that keeps its connection open although its request came after the balancer could know of the planned stop.
+func TestAnswersCloseConnectionsFromTheBeginOfAStop(t *testing.T) {
+	closes := false
+	f := &fixture{t: t, server: New(Options{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { closes = ClosesAfter(r) })})}
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address = l.Addr().String()
+	served := make(chan struct{})
+	go func() { defer close(served); _ = f.server.Serve(l) }()
+	c := f.dial()
+	c.send(get("/first"))
+	if _, err := c.answer(); err != nil || closes {
+		t.Fatalf("before the stop: %v, closes: %v", err, closes)
+	}
+	_ = f.server.Drain(t.Context(), drain.Options{Deadline: stopLimit}, func(phase drain.Phase) {
+		if phase != drain.PhaseUnready {
+			return
+		}
+		c.send(get("/late"))
+		if _, err := c.answer(); err != nil {
+			t.Error(err)
+		}
+		_ = c.Close()
+	})
+	<-served
+	if !closes {
+		t.Error("the connection was to stay open")
+	}
+}
+
 // Guards against connections that are reset because a planned stop begins between listen and Serve.
 func TestShutdownBeforeServeAnswersTheQueue(t *testing.T) {
 	f := &fixture{t: t, server: New(Options{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})}
