--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -15,8 +15,8 @@
 // targetClock tracks the clock that the targets and KV-cache stores share. The deadlines of fetches and the ages of weight versions refer to
 // it: unlike the wall clock of an instance it is the same for all instances. Its times are those of State.bootTime.
 type targetClock struct {
-	started  time.Time // from which local times are measured
-	estimate atomic.Pointer[remoteclock.Estimate]
+	started  time.Time                            // from which local times are measured
+	estimate atomic.Pointer[remoteclock.Estimate] // nil while the clock is unknown
 }
 
 // observe takes in a time of the clock in Unix milliseconds, stated by the answer to a call that began and was handled at the given times. Zero
@@ -26,8 +26,12 @@
 		return
 	}
 	for {
+		var current remoteclock.Estimate
 		before := c.estimate.Load()
-		next, set := c.load(before).Update(statedMillis, begun.Sub(c.started), handled.Sub(c.started))
+		if before != nil {
+			current = *before
+		}
+		next, set := current.Update(statedMillis, begun.Sub(c.started), handled.Sub(c.started))
 		if !c.estimate.CompareAndSwap(before, &next) {
 			continue
 		}
@@ -38,13 +42,6 @@
 	}
 }
 
-func (c *targetClock) load(e *remoteclock.Estimate) remoteclock.Estimate {
-	if e == nil {
-		return remoteclock.Estimate{}
-	}
-	return *e
-}
-
 // known reports whether an answer has stated the clock.
 func (c *targetClock) known() bool { return c.estimate.Load() != nil }
 
@@ -96,9 +93,8 @@
 		if t := r.State.anyEngineTarget(); t != nil {
 			report, err := r.State.readReport(ctx, r.Engines, t)
 			r.State.observeNotice(t, report.Notice, report.Born, time.Now())
-			if err == nil {
-				pause = clockReadPause // if it has not stated the clock
-			} else {
+			pause = clockReadPause // if the report does not state the clock
+			if err != nil {
 				pause = readRetryDelay
 			}
 		}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -45,6 +45,8 @@
 	// maxResumeTime is how long after its start, or a standstill, a process takes until its first reading of the metadata. If it takes longer the
 	// store was away, and nothing was released meanwhile.
 	maxResumeTime = 3 * time.Second
+	// maxClockDelay is how long after its start an instance goes by estimated ages of weight versions, while no target has told its clock.
+	maxClockDelay = 2 * time.Second
 )
 
 // observation says since when this instance may have missed changes of the metadata. Its times are those of versionHistory.
@@ -236,8 +238,8 @@
 	s.observation.estimated = !known
 }
 
-// updateVersionAges replaces estimated ages of weight versions by those that follow from the targets' clock once that is known. If it stays
-// unknown, targets with older weights get no work until they are certain to be allowed it. It reports whether an age has changed. s.mu must be held.
+// updateVersionAges replaces estimated ages of weight versions by those that follow from the targets' clock once that is known. While it stays
+// unknown, targets with older weights get no work. It reports whether an age has changed. s.mu must be held.
 func (s *State) updateVersionAges(now time.Time) (changed bool) {
 	boot := s.bootTime(now)
 	if !s.clockApplied && s.targetClock.known() {
@@ -256,7 +258,7 @@
 			changed = s.observeVersion(seen.Model, seen.Version, age, roster.Bounded, false, now) || changed
 		} else if age := s.opts.RolloutTimeout; running >= age {
 			changed = s.observeVersion(seen.Model, seen.Version, running, roster.Bounded, false, now) || changed
-		} else if running >= maxResumeTime && boot.Sub(seen.FirstSeen) < age {
+		} else if running >= maxClockDelay && boot.Sub(seen.FirstSeen) < age {
 			changed = s.observeVersion(seen.Model, seen.Version, age, roster.Estimated, false, now) || changed
 		}
 	}
--- a/internal/remoteclock/remoteclock.go
+++ b/internal/remoteclock/remoteclock.go
@@ -18,9 +18,6 @@
 	min, max time.Duration
 }
 
-// Known reports whether an answer has stated the clock.
-func (e Estimate) Known() bool { return e.known }
-
 // Update returns the estimate after an answer that stated a time of the remote clock, in Unix milliseconds. The call began, and its answer was
 // handled, at the given local times. set is by how much the remote clock was set since the answers before, zero if it was not.
 func (e Estimate) Update(statedMillis int64, begun, handled time.Duration) (next Estimate, set time.Duration) {
