rawhttp: a target that leaves the rest of an upload unread ends once its answer was delivered

Cause: the stand-in, not the product. It closed the connection 0.2 s after it had written the answer to its socket; the reset of a connection with unread data drops what the client has not taken by then. A client short of processor takes longer, and that part is no whole answer.

Fix: the stand-in waits until the client's system has acknowledged the answer, and then for the same pause. The check is as strict as before: the answer must be whole, and the reset still follows it.

--- a/internal/fake/rawhttp/early.go
+++ b/internal/fake/rawhttp/early.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // EarlyEnd is how a server ends the connection of an early answer.
@@ -18,8 +20,8 @@
 	EarlyReset EarlyEnd = iota
 	// EarlyReadsRest closes the sending direction, and the connection once the request's body has been read.
 	EarlyReadsRest
-	// EarlyLeavesRest closes the sending direction, and the connection after another pause, with the rest of the body unread: the system
-	// resets it then.
+	// EarlyLeavesRest closes the sending direction, and the connection another pause after the client has the answer, with the rest of the body
+	// unread: the system resets it then.
 	EarlyLeavesRest
 )
 
@@ -53,7 +55,25 @@
 		if a.End == EarlyReadsRest {
 			_, _ = io.Copy(io.Discard, req.Body)
 		} else {
+			waitDelivered(socket)
 			time.Sleep(a.Pause)
 		}
 	})
 }
+
+// maxDelivery bounds the time until a client has taken an answer.
+const maxDelivery = 10 * time.Second
+
+// waitDelivered waits until the client's system has acknowledged all that was sent: what it has not would be lost in a reset.
+func waitDelivered(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	for end := time.Now().Add(maxDelivery); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		unsent := 0
+		if raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }) != nil || err != nil || unsent == 0 {
+			return // gone, or delivered
+		}
+	}
+}
