--- a/internal/gateway/keeper.go
+++ b/internal/gateway/keeper.go
@@ -353,12 +353,12 @@
 	if !c.isFresh() {
 		return from
 	}
-	text, retired := scope.String(), c.retired(scope.Model)
+	text, retired, boot := scope.String(), c.retired(scope.Model), c.state.bootTime(now)
 	for i, p := range parts {
 		if retired.Retired(scope.Version, p.ID) {
 			continue
 		}
-		address, ok := c.directory.Locate(directory.Key{Scope: text, Part: p.ID}, p.Tokens, c.state.bootTime(now))
+		address, ok := c.directory.Locate(directory.Key{Scope: text, Part: p.ID}, p.Tokens, boot)
 		if !ok || !c.throttleByAddress(address, now).Allow(draw, now) {
 			continue
 		}
@@ -431,11 +431,11 @@
 	if !c.isFresh() {
 		return to
 	}
-	text, retired := scope.String(), c.retired(scope.Model)
+	text, retired, boot := scope.String(), c.retired(scope.Model), c.state.bootTime(now)
 	linkAllows := func(store string) bool { return c.throttleByAddress(store, now).Share() > throttledThreshold }
 	for i, p := range parts {
 		if !retired.Retired(scope.Version, p.ID) {
-			to[i], _ = c.directory.ReserveSave(directory.Key{Scope: text, Part: p.ID}, p.Tokens, linkAllows, c.state.bootTime(now))
+			to[i], _ = c.directory.ReserveSave(directory.Key{Scope: text, Part: p.ID}, p.Tokens, linkAllows, boot)
 		}
 	}
 	return to
--- a/internal/gateway/sharedscope.go
+++ b/internal/gateway/sharedscope.go
@@ -80,8 +80,8 @@
 
 // reportSharing logs when workspaces stop or begin again to share cached parts because of the age of the metadata. s.mu must be held.
 func (s *State) reportSharing() {
-	if shares := s.sharesCache(); shares == s.unshared {
-		s.unshared = !shares
+	if shares := s.sharesCache(); shares != s.sharing {
+		s.sharing = shares
 		klog.InfoS("sharing of cached parts between workspaces", "allowed", shares, "metadata_age_ms", s.metadataAge().Milliseconds(), "metadata", s.metadataRevision)
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -147,7 +147,7 @@
 	clockApplied     bool                     // the ages of weight versions follow the targets' clock
 	software         softwareState
 	shared           sharedScopeState
-	unshared         bool // workspaces share no cached parts, since the metadata is too old
+	sharing          bool // workspaces share cached parts: the metadata is fresh enough
 	rolloutLocked    bool // an instance holds the rollout lock
 	timeDependent    bool // the view changes as time passes, without a change of the metadata
 	budgetInstances  int  // number of instances that budgets were computed for
--- a/internal/kvcache/directory/directory.go
+++ b/internal/kvcache/directory/directory.go
@@ -1,7 +1,7 @@
 // Package directory tracks which KV-cache store holds which complete prompt parts, and selects the store that a part is
 // saved to. The stores neither evict nor validate anything, so a part is fetched only if its store reported it complete
 // in the current epoch, and every fetch and every save requires that the contents of that store were read recently. An answer
-// of a store is as old as the store can have made it: it may have waited in the socket of a process that stood still. The
+// counts from when the store can have made it at the earliest: it may have waited in the socket of a process that stood still. The
 // package does no I/O; callers pass the current time, which must include the time for which the machine was suspended.
 package directory
 
@@ -56,7 +56,7 @@
 	hash         uint64
 	epoch        uint64
 	loaded       bool      // its contents were read at least once
-	asOf         time.Time // when the store last held these contents, at the latest; zero: they are not to be used
+	asOf         time.Time // the store held these contents then or later; zero: they must not be used
 	holdoffUntil time.Time // no saves before this time
 	complete     map[Key]int
 	usedTokens   int // tokens of complete parts, each rounded up to whole blocks
@@ -171,7 +171,7 @@
 // fresh reports whether the contents are less than MaxStaleness old.
 func (st *storeState) fresh(now time.Time) bool { return st.readWithin(MaxStaleness, now) }
 
-// readWithin reports whether the contents are less than an age old.
+// readWithin reports whether the contents are known to be less than an age old.
 func (st *storeState) readWithin(age time.Duration, now time.Time) bool {
 	return st.loaded && !st.asOf.IsZero() && now.Sub(st.asOf) < age
 }
