--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,16 +34,17 @@
 	lateReadTime = time.Second
 )
 
-// connPhase is what an HTTP/1 connection is doing. Only a connection in phaseWaiting or phaseHead can be ended by the server: no handler
-// has a request of it, nor will it get one.
+// connPhase is what an HTTP/1 connection is doing. Only a connection in phaseWaiting, phaseHead or phaseAnswered can be ended by the server:
+// no handler has a request of it, nor will it get one.
 type connPhase uint8
 
 const (
-	phaseBetween connPhase = iota // net/http may have bytes of the next request
-	phaseWaiting                  // net/http waits for the first byte of the next request
-	phaseHead                     // net/http waits for the rest of a request's head
-	phaseHandler                  // a handler has a request, or the connection is not HTTP/1 any more
-	phaseEnded                    // the refusal was sent; what comes is discarded
+	phaseBetween  connPhase = iota // net/http may have bytes of the next request
+	phaseWaiting                   // net/http waits for the first byte of the next request
+	phaseHead                      // net/http waits for the rest of a request's head
+	phaseHandler                   // a handler has a request, or the connection is not HTTP/1 any more
+	phaseAnswered                  // the answer was sent; net/http waits for its read that watches for the end of the connection
+	phaseEnded                     // the refusal was sent; what comes is discarded
 )
 
 // conn is an accepted connection. It decides together with its Server whether a request that comes still reaches a handler: each read
@@ -54,6 +55,7 @@
 
 	mu          sync.Mutex // guards the rest
 	phase       connPhase
+	handled     bool      // the handler of the present request has returned
 	answered    bool      // a request of the connection was answered
 	deadline    time.Time // of reads, as net/http has set it
 	interrupted bool      // reads of a request that has not come wholly fail
@@ -87,7 +89,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if c.phase == phaseEnded || c.interrupted && c.phase != phaseHandler {
+	if c.phase == phaseHandler && c.handled && !c.received.http2 && !t.IsZero() && t.Before(time.Now()) {
+		c.phase, c.answered = phaseAnswered, true // net/http ends its watch after the last write of the answer
+	}
+	if c.phase == phaseEnded || c.interrupted && !c.beyondHead() {
 		return nil // the server's own deadline holds
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -131,7 +136,7 @@
 	}
 	if len(p) > 0 {
 		defer c.mu.Unlock()
-		if c.received.add(p, c.phase != phaseHandler); c.received.http2 {
+		if c.received.add(p, !c.beyondHead()); c.received.http2 {
 			c.phase = phaseHandler
 		} else if c.phase == phaseWaiting {
 			c.phase = phaseHead
@@ -143,13 +148,13 @@
 		c.broken = true
 		return 0, err, true
 	}
-	if !c.interrupted && !c.late && c.phase != phaseHandler && unread(c.Conn) {
+	if !c.interrupted && !c.late && !c.beyondHead() && unread(c.Conn) {
 		defer c.mu.Unlock()
 		c.late = true
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)) // the bytes have come in time; the process did not read them
 		return 0, nil, false
 	}
-	if c.phase != phaseHandler {
+	if !c.beyondHead() {
 		reason := "time limit"
 		if c.interrupted {
 			reason = "stopping, request incomplete"
@@ -170,6 +175,9 @@
 	return 0, nil, false
 }
 
+// beyondHead reports whether the head of a request was read that is not done with. c.mu must be held.
+func (c *conn) beyondHead() bool { return c.phase == phaseHandler || c.phase == phaseAnswered }
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -189,10 +197,11 @@
 
 // end ends a connection of which no handler has a request: it answers with refusal whatever the client may have sent or is sending,
 // and closes the sending direction. What comes after is discarded by Read. It does nothing if the connection is no longer in the given phase,
-// which must be phaseWaiting unless net/http itself waits for the rest of a head: once it has bytes, it may have a whole request.
+// which must be phaseWaiting or phaseAnswered unless net/http itself waits for the rest of a head: once it has bytes, it may have a whole
+// request.
 func (c *conn) end(phase connPhase, reason string) {
 	c.mu.Lock()
-	if c.phase != phase {
+	if c.phase != phase || phase == phaseAnswered && c.received.beyond() {
 		c.mu.Unlock()
 		return
 	}
@@ -232,7 +241,7 @@
 }
 
 // interrupt makes reads fail of requests that have not come wholly, from now on. A handler that has its request is not affected. A
-// connection whose request is still unread is ended here, since its reader may not run in time.
+// connection whose request is still unread is ended here, since its reader may not run in time. It may be called again.
 func (c *conn) interrupt() {
 	c.mu.Lock()
 	if c.phase == phaseEnded || c.received.http2 {
@@ -243,6 +252,7 @@
 	c.failReads()
 	c.mu.Unlock()
 	c.end(phaseWaiting, "stopping")
+	c.end(phaseAnswered, "stopping")
 }
 
 // failReads makes reads fail. c.mu must be held.
@@ -274,6 +284,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received.bodyLength = bodyLength
+	c.handled = false
+}
+
+// endHandler records that the handler of the present request has returned.
+func (c *conn) endHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
 }
 
 // isLast reports whether nothing was received on the connection beyond the present request. For HTTP/2 it is always true: an answer that
@@ -298,7 +316,7 @@
 	if dropped {
 		c.server.metrics.dropped.Inc(1)
 	}
-	if linger && !ended && closeWrite(c.Conn) == nil {
+	if linger && (ended || closeWrite(c.Conn) == nil) {
 		_ = c.Conn.SetReadDeadline(c.server.closeBy(time.Now().Add(lingerTimeout)))
 		var discarded [512]byte
 		for {
--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -150,6 +150,38 @@
 	wait()
 }
 
+// Guards against a request that is cut since net/http still waits for its watch of the connection when the answer before has been sent.
+func TestUnreadAfterAnswerIsRefused(t *testing.T) {
+	for name, answeredAfter := range map[string]time.Duration{"before the stop": 0, "before the handover": 400 * time.Millisecond, "after it": 850 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, Options{})
+			c := f.dial()
+			c.send(get("/slow"))
+			<-f.begun
+			f.reads.hold()
+			c.send(get("/second"))
+			time.Sleep(20 * time.Millisecond) // the watch is woken
+			if answeredAfter == 0 {
+				f.finish()
+			}
+			wait := f.shutdown(time.Second)
+			if answeredAfter > 0 {
+				time.AfterFunc(answeredAfter-50*time.Millisecond, f.finish)
+			}
+			for i := range 2 {
+				if status, err := c.answer(); err != nil {
+					t.Errorf("request %d: status %d, %v", i+1, status, err)
+				}
+			}
+			f.reads.release()
+			wait()
+			if len(f.begun) > 0 {
+				t.Error("the refused request has run")
+			}
+		})
+	}
+}
+
 // Guards against a partial request after one that was being answered at the handover: it must be refused, not cut.
 func TestPartialHeadAfterHandover(t *testing.T) {
 	for name, second := range map[string]string{
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -96,10 +96,14 @@
 }
 
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	if c := connOf(r.Context()); c != nil {
+	c := connOf(r.Context())
+	if c != nil {
 		c.beginRequest(r.ContentLength)
 	}
 	s.opts.Handler.ServeHTTP(w, r)
+	if c != nil {
+		c.endHandler()
+	}
 }
 
 // unencryptedHTTP2 reports whether connections without TLS may be of HTTP/2.
@@ -209,6 +213,9 @@
 			s.endRequests(ErrStopping)
 			s.forEach(func(c *conn) { go c.interrupt() })
 		case drain.PhaseOverdue:
+			var interrupted sync.WaitGroup
+			s.forEach(func(c *conn) { interrupted.Go(c.interrupt) }) // answers may have ended since
+			interrupted.Wait()
 			overdue = s.unanswered()
 			_ = s.Close()
 		}
