--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -373,6 +373,23 @@
 	}
 }
 
+// Guards against a listener whose wait for handshakes lasts to the end of a short stop, which then resets what is queued.
+func TestHandshakeWaitEndsAtHandover(t *testing.T) {
+	const handover = 50 * time.Millisecond
+	shortest := time.Hour
+	for range 5 {
+		f := newFixture(t, Options{})
+		began := time.Now()
+		if err := f.server.Drain(t.Context(), drain.Options{HandoverAfter: handover, Deadline: time.Hour}, func(drain.Phase) {}); err != nil {
+			t.Fatal(err)
+		}
+		shortest = min(shortest, time.Since(began))
+	}
+	if shortest >= handshakeQuiet {
+		t.Errorf("shortest of five stops of an idle server took %v, want less than %v with a handover after %v", shortest, handshakeQuiet, handover)
+	}
+}
+
 // exhausted is a listener in a process that has no free file descriptors for a moment after its stop began.
 type exhausted struct {
 	*net.TCPListener
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -117,7 +117,8 @@
 	return nil, nil
 }
 
-// end makes Accept return an error when all established connections have been accepted.
+// end makes Accept return an error when all established connections have been accepted. From the time of the handover on it doesn't wait for
+// handshakes: what is in the queue has to be refused before the connections are closed.
 func (l *listener) end() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,6 +126,9 @@
 		return
 	}
 	l.ending, l.limit = true, time.Now().Add(maxHandshakeTime)
+	if handover := l.server.handover.Load(); handover != nil && handover.Before(l.limit) {
+		l.limit = *handover
+	}
 	refuseHandshakes(l.Listener)
 	l.awaitHandshakes()
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -50,6 +50,7 @@
 	interrupting atomic.Bool // reads of requests that have not come wholly fail
 	closing      atomic.Bool // connections are closed at once
 	closeLimit   atomic.Pointer[time.Time]
+	handover     atomic.Pointer[time.Time] // when PhaseHandover of Drain begins; nil: never, or not known
 	endRequests  context.CancelCauseFunc
 	stopped      chan struct{} // closed after Shutdown, Drain or Close
 	markStopped  func()
@@ -193,8 +194,13 @@
 		}
 	}
 	defer s.markStopped()
-	limit := time.Now().Add(opts.Deadline)
+	began := time.Now()
+	limit := began.Add(opts.Deadline)
 	s.closeLimit.Store(&limit)
+	if opts.HandoverAfter > 0 {
+		handover := began.Add(opts.HandoverAfter)
+		s.handover.Store(&handover)
+	}
 	overdue := 0
 	err := inflight.Drain(ctx, opts, s.work, func(phase drain.Phase) {
 		if phase == drain.PhaseUnready {
