--- a/internal/httpserver/crossing_test.go
+++ b/internal/httpserver/crossing_test.go
@@ -152,8 +152,9 @@
 
 // Guards against a request that is cut since net/http still waits for its watch of the connection when the answer before has been sent.
 func TestUnreadAfterAnswerIsRefused(t *testing.T) {
-	for name, answeredAfter := range map[string]time.Duration{"before the stop": 0, "before the handover": 400 * time.Millisecond, "after it": 850 * time.Millisecond} {
+	for name, answeredAfter := range map[string]time.Duration{"before the stop": 0, "before the handover": time.Second, "after it": 2450 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFixture(t, Options{})
 			c := f.dial()
 			c.send(get("/slow"))
@@ -164,7 +165,7 @@
 			if answeredAfter == 0 {
 				f.finish()
 			}
-			wait := f.shutdown(time.Second)
+			wait := f.shutdown(stopLimit) // handover at 2.4 s
 			if answeredAfter > 0 {
 				time.AfterFunc(answeredAfter-50*time.Millisecond, f.finish)
 			}
--- a/internal/httpserver/received.go
+++ b/internal/httpserver/received.go
@@ -64,7 +64,15 @@
 	return r.unknown || r.after > r.bodyLength
 }
 
-// next begins to count for the next request.
+// next begins to count for the next request. A few bytes of it that came before, as one does that net/http reads to watch for the end of the
+// connection, are counted for it.
 func (r *requestBytes) next() {
-	*r = requestBytes{some: true, unknown: r.beyond(), tail: r.tail}
+	early := r.after - r.bodyLength
+	known := !r.unknown && r.bodyLength >= 0 && early <= int64(len(r.tail))
+	next := requestBytes{some: true, unknown: !known && r.beyond()}
+	if known && early > 0 {
+		next.add(r.tail[int64(len(r.tail))-early:], true)
+	}
+	next.tail = r.tail
+	*r = next
 }
--- a/internal/httpserver/shutdown_test.go
+++ b/internal/httpserver/shutdown_test.go
@@ -430,6 +430,31 @@
 	}
 }
 
+// Guards against the same if net/http has read the first byte of the request, since it still watched for the end of the connection.
+func TestAnswerClosesConnectionIfTheWatchReadAByte(t *testing.T) {
+	closes := make(chan bool, 2)
+	f := newFixture(t, Options{})
+	f.server.opts.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			f.begun <- struct{}{}
+			<-f.slow
+		}
+		closes <- ClosesAfter(r)
+	})
+	f.server.stopping.Store(true)
+	c := f.dial()
+	c.send(get("/first"))
+	<-f.begun
+	c.send(get("/late"))
+	time.Sleep(20 * time.Millisecond) // the watch reads a byte
+	f.finish()
+	for i, want := range []bool{false, true} {
+		if got := <-closes; got != want {
+			t.Errorf("answer %d closes its connection: %v, want %v", i+1, got, want)
+		}
+	}
+}
+
 // Guards against connections that are reset because a planned stop begins between listen and Serve.
 func TestShutdownBeforeServeAnswersTheQueue(t *testing.T) {
 	f := &fixture{t: t, server: New(Options{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})}
