--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,7 @@
 	reply   Reply
 
 	weightVersion    int           // weight version that the request asked for; zero if nothing was sent
+	versionChanged   bool          // the answer came when the target was known to have another one
 	metadataRevision uint64        // revision of the metadata by which the target was chosen
 	metadataAge      time.Duration // age of the metadata just before the send; negative if unknown
 	chosen           time.Time
@@ -126,9 +127,9 @@
 }
 
 // retrySameTarget reports whether the next attempt may go to the same target: it refused only because it runs another weight
-// version than the request asked for, and its answer gave that version.
+// version than the request asked for, and the next attempt would ask for another one.
 func (a *attempt) retrySameTarget() bool {
-	return a.outcome == attemptNotRun && a.reply.Misdirected && a.reply.WeightVersion > 0 && !a.reply.fromOtherTarget(a.target.id)
+	return a.outcome == attemptNotRun && a.reply.Misdirected && a.versionChanged && !a.reply.fromOtherTarget(a.target.id)
 }
 
 // targetReplaced reports whether another target answered at the address: the intended one is gone and did not get the request.
@@ -524,9 +525,10 @@
 		rq.service.forecast.Report(&t.speed, reply.Speed, now)
 	}
 	if reply.WeightVersion > 0 && rq.service.Engine != nil && !reply.fromOtherTarget(t.id) {
-		if t.learnVersions(map[string]int{rq.call.Model: reply.WeightVersion}) {
-			klog.InfoS("weight version learned", "target", t.id, "model", rq.call.Model, "version", reply.WeightVersion)
+		if known := t.version(rq.call.Model); t.learnAnswered(rq.call.Model, reply.WeightVersion, result.sent, now) {
+			klog.InfoS("weight version learned", "target", t.id, "model", rq.call.Model, "version", reply.WeightVersion, "before", known, "sent_ms", now.Sub(result.sent).Milliseconds())
 		}
+		result.versionChanged = result.weightVersion != t.version(rq.call.Model)
 	}
 	switch {
 	case reply.NotRun:
--- a/internal/gateway/keeper_test.go
+++ b/internal/gateway/keeper_test.go
@@ -137,7 +137,7 @@
 	rq.gateway.opts.Cache, rq.view = cache, &view{catalog: catalog.New(1, catalog.Limits{}, nil, nil, nil, nil)}
 	rq.call.Model, rq.call.Parts = "m", []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 100}}
 	chosen := rq.service.targets["t"]
-	chosen.learnVersions(map[string]int{"m": 1})
+	chosen.learnVersions(map[string]int{"m": 1}, time.Now())
 	rq.prefix = rq.lookupPrefix(time.Now())
 	cache.source, cache.destination, cache.asked = "", "", nil // the store is out of reach
 	params := rq.forwardParams(chosen, 1, time.Now())
--- a/internal/gateway/observation_test.go
+++ b/internal/gateway/observation_test.go
@@ -209,7 +209,7 @@
 		controller := NewRolloutController(RolloutOptions{State: m.State, Engines: engines})
 		controller.reset()
 		controller.loadableAt = map[string]time.Time{"a": {}}
-		m.targets["a"].learnVersions(map[string]int{"m": 1, "n": 1})
+		m.targets["a"].learnVersions(map[string]int{"m": 1, "n": 1}, time.Now())
 		behind := engineGroup{service: "s", model: "m", newestVersion: 2, targets: m.targets}
 		current := engineGroup{service: "s", model: "n", newestVersion: 1, targets: m.targets}
 		for range 40 {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -75,6 +75,7 @@
 	var list []rollout.Target
 	for id, t := range g.targets {
 		rt := rollout.Target{ID: id, Version: t.version(g.model), Expiry: g.expiry[id]}
+		c.loaded = slices.DeleteFunc(c.loaded, func(l loadedVersion) bool { return l.Target == id && l.Model == g.model && l.Version > rt.Version })
 		if result, ok := c.newResults[id]; ok {
 			delete(c.newResults, id)
 			c.applyReport(&rt, g, result, now)
@@ -161,7 +162,7 @@
 	rt.Busy, rt.Idle = report.OrderRunning, report.Running == 0
 	if v := report.WeightVersions[g.model]; v > rt.Version {
 		rt.Version = v
-		g.targets[rt.ID].learnVersions(report.WeightVersions)
+		g.targets[rt.ID].learnVersions(report.WeightVersions, now)
 		c.recordLoaded(loadedVersion{Target: rt.ID, Born: g.born[rt.ID], Model: g.model, Version: v})
 		klog.InfoS("weights loaded", "target", rt.ID, "model", g.model, "version", v)
 	}
--- a/internal/gateway/scope_test.go
+++ b/internal/gateway/scope_test.go
@@ -103,7 +103,7 @@
 	rq.workspace = config.Workspace("k")
 	rq.call.Model, rq.call.Parts = "m", []Part{{ID: "shared", Tokens: 5000}, {ID: "own", Tokens: 100}}
 	target := rq.service.targets["t"]
-	target.learnVersions(map[string]int{"m": 1})
+	target.learnVersions(map[string]int{"m": 1}, time.Now())
 	for _, c := range []struct {
 		age  time.Duration
 		want string
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -378,7 +378,7 @@
 // rebuild updates the targets from s.snapshot and replaces the current view, if a configuration is known. s.mu must be held.
 func (s *State) rebuild(now time.Time) {
 	s.roster.Update(s.snapshot, s.opts.RecoveredAt(), now)
-	s.syncTargets()
+	s.syncTargets(now)
 	s.timeDependent = s.roster.TimeDependent(now)
 	if s.snapshot.Catalog == nil {
 		return
@@ -431,7 +431,7 @@
 }
 
 // syncTargets updates s.targets to hold one target for each incarnation in the roster.
-func (s *State) syncTargets() {
+func (s *State) syncTargets(now time.Time) {
 	present := map[string]bool{}
 	for _, t := range s.roster.All() {
 		present[t.ID] = true
@@ -452,14 +452,23 @@
 			klog.InfoS("target changed", "target", t.ID, "leaving", t.Leaving, "lapsed", t.Expired, "metadata", s.metadataRevision)
 		}
 		old.record = t
-		old.learnVersions(t.Weights)
+		if old.learnRecord(t.Record, now) {
+			klog.InfoS("weight versions learned", "target", t.ID, "weights", t.Weights, "metadata", s.metadataRevision)
+		}
 		old.pool.SetLimit(s.connectionLimit(t.Service))
 	}
+	published := map[string]map[string]int{}
 	for _, l := range s.loaded {
 		if t := s.targets[l.Target]; t != nil && t.record.Born == l.Born {
-			t.learnVersions(map[string]int{l.Model: l.Version})
+			if published[l.Target] == nil {
+				published[l.Target] = map[string]int{}
+			}
+			published[l.Target][l.Model] = l.Version
 		}
 	}
+	for id, t := range s.targets {
+		t.learnPublished(published[id], now)
+	}
 	for id, t := range s.targets {
 		if !present[id] {
 			klog.InfoS("target gone", "target", id, "service", t.record.Service, "lapsed", t.record.Expired, "metadata", s.metadataRevision)
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -49,7 +49,7 @@
 	if !s.current.Load().services["llm"].snapshot.Candidates()[0].Disabled {
 		t.Error("target not out of rotation although its weights have expired")
 	}
-	s.targets["t"].learnVersions(map[string]int{"m": 2})
+	s.targets["t"].learnVersions(map[string]int{"m": 2}, time.Now())
 	s.Tick(now.Add(21 * time.Second))
 	if s.current.Load().services["llm"].snapshot.Candidates()[0].Disabled {
 		t.Error("target out of rotation although it has loaded the new weights")
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -15,6 +15,7 @@
 	"github.com/egrethoist/egrethoist/internal/forecast"
 	"github.com/egrethoist/egrethoist/internal/roster"
 	"github.com/egrethoist/egrethoist/internal/routing"
+	"github.com/egrethoist/egrethoist/internal/steadytime"
 	"github.com/egrethoist/egrethoist/internal/targetconn"
 )
 
@@ -39,18 +40,21 @@
 	pool           *targetconn.Pool
 	probes         *targetconn.Pool // for probes of the load
 	stats          *routing.Stats
-	speed          forecast.Target                // of an engine
-	weightVersions atomic.Pointer[map[string]int] // newest known weight version by model
-	loadReports    atomic.Uint64                  // load reports received; their sequence number in stats
-	failures       atomic.Int64                   // consecutive failed connections or answers
-	coldUntil      atomic.Int64                   // end of the cold time as steady time in nanoseconds
-	pauses         atomic.Int64                   // consecutive answers that requested a pause
+	speed          forecast.Target                         // of an engine
+	weightVersions atomic.Pointer[map[string]knownVersion] // weight versions by model
+	loadReports    atomic.Uint64                           // load reports received; their sequence number in stats
+	failures       atomic.Int64                            // consecutive failed connections or answers
+	coldUntil      atomic.Int64                            // end of the cold time as steady time in nanoseconds
+	pauses         atomic.Int64                            // consecutive answers that requested a pause
 
 	crashMu sync.Mutex  // guards crash
 	crash   *crashCheck // last check of whether the target has crashed; nil if there was none
 
 	// The fields below are guarded by State.mu.
 	record               roster.Target
+	recordSequence       uint64                 // highest one of the records
+	recordVersions       map[string]int         // weight versions in that record, by model
+	publishedVersions    map[string]int         // weight versions in the last publication of the rollout leader, by model
 	expiredWeights       roster.ObservedVersion // weights whose expiry was logged last
 	coldLimiter          *coldshare.Limiter     // nil while the target is warm; renewed with the view
 	coldLimiterUntil     time.Time              // end of the cold time that coldLimiter was made for
@@ -66,41 +70,93 @@
 	}
 	created.limit = l.register(t.ID, created.incarnation)
 	created.stats.Report(routing.Load{Limit: t.Slots}) // assumed idle until the first report
-	created.learnVersions(t.Weights)
+	created.learnRecord(t.Record, time.Now())
 	return created
 }
 
-// learnVersions merges weight versions into those known, by model, and reports whether any of them is new. Versions only increase
-// within an incarnation, so older ones are ignored.
-func (t *target) learnVersions(versions map[string]int) bool {
+// knownVersion is a weight version that a target has, and the time until which that is known.
+type knownVersion struct {
+	version int
+	seenAt  *atomic.Int64 // when the last evidence for it came, in nanoseconds of steady time
+}
+
+// learnVersions merges weight versions into those known, by model, and reports whether any of them is new. The evidence has no time, so
+// older versions are ignored: an order that is carried out late makes a target load one, see learnAnswered and learnRecord.
+func (t *target) learnVersions(versions map[string]int, now time.Time) bool {
+	return t.updateVersions(versions, func(_ string, known knownVersion, version int) bool { return version > known.version }, now)
+}
+
+// learnAnswered learns the weight version in an answer to a request that was sent at sentAt, and reports whether it is new. An older version
+// counts if the request was sent after the last evidence for the known one: answers may overtake each other.
+func (t *target) learnAnswered(model string, version int, sentAt, now time.Time) bool {
+	if versions := t.weightVersions.Load(); versions != nil {
+		if known := (*versions)[model]; known.version == version && known.seenAt != nil {
+			known.seenAt.Store(steadytime.UnixNano(now))
+			return false
+		}
+	}
+	sent := steadytime.UnixNano(sentAt)
+	return t.updateVersions(map[string]int{model: version}, func(_ string, known knownVersion, version int) bool {
+		return version > known.version || version < known.version && sent > known.seenAt.Load()
+	}, now)
+}
+
+// learnRecord learns the weight versions in a record that the target has written, and reports whether any of them is new. An older version
+// than in the record before counts if nothing else vouches for the known one. State.mu must be held.
+func (t *target) learnRecord(r roster.Record, now time.Time) bool {
+	before, later := t.recordVersions, r.Sequence > t.recordSequence // an earlier write can be executed late
+	if later || t.recordVersions == nil {
+		t.recordVersions, t.recordSequence = r.Weights, r.Sequence
+	}
+	return t.updateVersions(r.Weights, func(model string, known knownVersion, version int) bool {
+		return version > known.version || later && version < known.version && known.version == before[model]
+	}, now)
+}
+
+// learnPublished learns the weight versions that the rollout leader has published, as far as they differ from its last publication. State.mu
+// must be held.
+func (t *target) learnPublished(versions map[string]int, now time.Time) {
+	for model, version := range versions {
+		if t.publishedVersions[model] != version {
+			t.learnVersions(map[string]int{model: version}, now)
+		}
+	}
+	t.publishedVersions = versions
+}
+
+// updateVersions sets the weight versions that accept returns true for, and reports whether there are any.
+func (t *target) updateVersions(versions map[string]int, accept func(model string, known knownVersion, version int) bool, now time.Time) bool {
 	for {
 		old := t.weightVersions.Load()
-		var known map[string]int
+		var known, next map[string]knownVersion
 		if old != nil {
 			known = *old
 		}
-		changed := false
-		for model, v := range versions {
-			changed = changed || v > known[model]
+		for model, version := range versions {
+			if !accept(model, known[model], version) {
+				continue
+			}
+			if next == nil {
+				next = make(map[string]knownVersion, len(known)+len(versions))
+				maps.Copy(next, known)
+			}
+			seenAt := new(atomic.Int64)
+			seenAt.Store(steadytime.UnixNano(now))
+			next[model] = knownVersion{version: version, seenAt: seenAt}
 		}
-		if !changed {
+		if next == nil {
 			return false
 		}
-		next := make(map[string]int, len(known)+len(versions))
-		maps.Copy(next, known)
-		for model, v := range versions {
-			next[model] = max(next[model], v)
-		}
 		if t.weightVersions.CompareAndSwap(old, &next) {
 			return true
 		}
 	}
 }
 
-// version returns the newest known weight version of a model; zero if unknown.
+// version returns the known weight version of a model; zero if unknown.
 func (t *target) version(model string) int {
 	if v := t.weightVersions.Load(); v != nil {
-		return (*v)[model]
+		return (*v)[model].version
 	}
 	return 0
 }
@@ -109,8 +165,8 @@
 func (t *target) newestWeights() int {
 	newest := 0
 	if versions := t.weightVersions.Load(); versions != nil {
-		for _, v := range *versions {
-			newest = max(newest, v)
+		for _, known := range *versions {
+			newest = max(newest, known.version)
 		}
 	}
 	return newest
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,6 +22,7 @@
 	Weights       map[string]int // weight version by model
 	Software      string         // version of its software; empty if unknown
 	Born          int64          // start time in Unix milliseconds, identifies the incarnation; zero if unknown
+	Sequence      uint64         // number of the incarnation's writes of its record up to this one; zero if unknown
 }
 
 // Snapshot is the decoded content of the metadata store.
