--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -74,6 +74,7 @@
 	missedReports  map[string]*reportFailures // of targets that are out and do not report, by ID
 	inbox          *reportInbox
 	reportsPending map[string]bool              // targets with a report request in flight, by ID
+	ordersPending  map[string]chan orderResult  // results of the orders in flight, by target ID
 	newResults     map[string]reportResult      // taken from the inbox but not processed yet, by ID
 	outSince       map[string]time.Time         // by ID of targets that any leader has published as out: when this instance saw that
 	loadableAt     map[string]time.Time         // by ID of targets that are out: when the load may be ordered
@@ -135,6 +136,7 @@
 func (c *RolloutController) reset() {
 	c.plans, c.targetReports, c.missedReports = map[string]*rollout.Plan{}, map[string]TargetReport{}, map[string]*reportFailures{}
 	c.inbox, c.reportsPending, c.newResults = newReportInbox(), map[string]bool{}, map[string]reportResult{}
+	c.ordersPending = map[string]chan orderResult{}
 	c.loadableAt, c.loaded, c.lastFreed, c.logged = map[string]time.Time{}, nil, time.Time{}, map[string][]rollout.Progress{}
 	for id, since := range c.outSince {
 		c.loadableAt[id] = since.Add(excludeDelay)
@@ -216,9 +218,10 @@
 	// Orders do not wait for the next publication: any target that has been out for long enough gets its order.
 	for id, order := range orders {
 		if at, ok := c.loadableAt[id]; ok && !time.Now().Before(at) {
-			c.sendOrder(ctx, order, token)
+			c.startOrder(ctx, order, token)
 		}
 	}
+	c.awaitOrders(ctx)
 }
 
 // newPlan returns the plan of a group, with its targets that are out of rotation.
@@ -318,11 +321,17 @@
 	}
 }
 
-// sendOrder orders a target to load weights, if the lock is still held and the target takes control calls now. Otherwise a later
-// step tries again.
-func (c *RolloutController) sendOrder(ctx context.Context, order pendingOrder, token uint64) {
+// orderResult is the result of an order to a target.
+type orderResult struct {
+	sentAt time.Time // zero if the target's rate limit did not allow the order
+	result OrderResult
+}
+
+// startOrder begins to order a target to load weights, if the lock is still held and the target takes control calls now. Otherwise a later
+// step tries again. Orders do not wait for each other: a target that leaves one unanswered must not hold up the roll-out.
+func (c *RolloutController) startOrder(ctx context.Context, order pendingOrder, token uint64) {
 	report, ok := c.targetReports[order.target.id]
-	if !ok {
+	if !ok || c.ordersPending[order.target.id] != nil {
 		return
 	}
 	if current, held := c.opts.Lock.Token(); !held || current != token {
@@ -331,19 +340,54 @@
 	if order.target.stats.Blocked(false, time.Now()) {
 		return
 	}
+	result := make(chan orderResult, 1)
+	c.ordersPending[order.target.id] = result
+	go func() { result <- c.sendOrder(ctx, order, report.Sequence, token) }() // ends within the timeouts of the calls
+}
+
+// sendOrder orders a target to load weights, if its rate limit allows that now.
+func (c *RolloutController) sendOrder(ctx context.Context, order pendingOrder, sequence, token uint64) orderResult {
 	if granted, _ := c.opts.State.grantService.acquire(ctx, order.target.limit, grantPurpose{control: true}); !granted {
-		return // the rate limit has no capacity now; the next step tries again
+		return orderResult{}
 	}
+	sentAt := time.Now()
 	result, err := c.opts.Engines.LoadWeights(ctx, order.target.address, LoadOrder{
-		Target: order.target.id, Model: order.model, Version: order.newestVersion, Holder: c.opts.Self, Token: token, ExpectedSequence: report.Sequence,
+		Target: order.target.id, Model: order.model, Version: order.newestVersion, Holder: c.opts.Self, Token: token, ExpectedSequence: sequence,
 	})
 	klog.InfoS("order to load weights", "target", order.target.id, "model", order.model, "version", order.newestVersion, "token", token,
-		"sequence", report.Sequence, "outcome", result.Outcome.String(), "err", err)
+		"sequence", sequence, "outcome", result.Outcome.String(), "err", err)
 	c.opts.State.observeNotice(order.target, result.Notice, 0, time.Now())
+	return orderResult{sentAt: sentAt, result: result}
+}
+
+// awaitOrders processes the results of orders, and waits up to reportWait for those in flight.
+func (c *RolloutController) awaitOrders(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportWait)
+	defer cancel()
+	for id, result := range c.ordersPending {
+		select {
+		case done := <-result:
+			c.endOrder(id, done)
+		case <-ctx.Done():
+			select {
+			case done := <-result:
+				c.endOrder(id, done)
+			default: // still in flight
+			}
+		}
+	}
+}
+
+// endOrder processes the result of an order to a target.
+func (c *RolloutController) endOrder(id string, done orderResult) {
+	delete(c.ordersPending, id)
+	if done.sentAt.IsZero() {
+		return // the next step tries again
+	}
 	for _, plan := range c.plans {
-		plan.LoadOrdered(order.target.id, time.Now())
+		plan.LoadOrdered(id, done.sentAt)
 	}
-	if result.Outcome == OrderFenced {
+	if done.result.Outcome == OrderFenced {
 		c.opts.Lock.Relinquish()
 	}
 }
